Read all keys again, from the first record kept, when the store has dropped its history

Mend: the answer names the first record kept; all pages are read again after it is known, and reading goes on from there. Linearizable pages then hold whatever lies before it. Ruled out: going on from the first record kept without new pages (the same gap).

--- a/src/follow/keyed_follower.cc
+++ b/src/follow/keyed_follower.cc
@@ -90,7 +90,6 @@
     }
     m_table.endPages(changes);
     m_complete = true;
-    m_fresh = true;
     if (!m_stopped) {
         m_listener.storeReached(m_options.table);
         m_listener.tableChanged(m_options.table, std::move(changes), true);
@@ -107,19 +106,20 @@
         co_return false;
     }
     const auto &run = *answer;
-    if (absl::IsOutOfRange(run.status())) {
-        m_failures = 0;
-        m_complete = std::exchange(m_fresh, false);
-        if (m_complete) {
-            m_table.skipToEnd();
-        }
-        co_return false;
-    }
     if (!run.ok()) {
         failed(run.status());
         co_return false;
     }
-    m_fresh = false;
+    if (run->dropped) {
+        if (run->next <= m_table.next()) {
+            failed(absl::InternalError("the store keeps what it says it has dropped"));
+            co_return false;
+        }
+        m_failures = 0;
+        m_complete = false;
+        m_table.skipTo(run->next);
+        co_return false;
+    }
     m_listener.storeReached(m_options.table);
     std::vector<KeyedChange> changes;
     m_table.takeRun(*run, changes);
--- a/src/follow/keyed_follower.h
+++ b/src/follow/keyed_follower.h
@@ -80,7 +80,6 @@
     boost::asio::steady_timer m_timer;
     WakeTimer m_readAgain; ///< Sleeps beside a read; waking it ends the read.
     int m_failures = 0; ///< In a row.
-    bool m_fresh = false; ///< Nothing was read since the table was read whole.
     bool m_complete = false; ///< The table was read whole and no gap has opened since.
     bool m_stopped = false;
 };
--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -50,10 +50,11 @@
 struct KeyedRun {
     std::vector<KeyedRecord> records;
     StoreOffset next; ///< Where to read on.
+    bool dropped = false; ///< Records from the read's position up to \a next are no longer kept; none is here.
 };
 
-/// Answer of a read. Errors: OutOfRange if records before were dropped,
-/// ResourceExhausted above the store's rate, Unavailable, DeadlineExceeded.
+/// Answer of a read. Errors: ResourceExhausted above the store's rate, Unavailable,
+/// DeadlineExceeded.
 using RunOr = absl::StatusOr<KeyedRun>;
 
 /// What is known after an append.
--- a/src/follow/keyed_table.cc
+++ b/src/follow/keyed_table.cc
@@ -27,7 +27,7 @@
 void KeyedTable::beginPages()
 {
     m_unseen = m_offsets;
-    m_next = StoreOffset();
+    m_next = m_firstKept;
     m_firstPage = true;
 }
 
@@ -57,9 +57,10 @@
     m_unseen.clear();
 }
 
-void KeyedTable::skipToEnd()
+void KeyedTable::skipTo(StoreOffset firstKept)
 {
-    m_next = std::max(m_next, m_end);
+    m_firstKept = std::max(m_firstKept, firstKept);
+    m_next = std::max(m_next, m_firstKept);
 }
 
 void KeyedTable::takeRun(const KeyedRun &run, std::vector<KeyedChange> &changes)
--- a/src/follow/keyed_table.h
+++ b/src/follow/keyed_table.h
@@ -19,7 +19,9 @@
 /// Folds pages and runs of a table into changes, so that a reader sees each key's
 /// newest record once and never an older one after it. Pages aren't taken at one
 /// moment, nor at that of the end which they state: the run that follows begins
-/// behind the newest record of the first page, and meets all that came later.
+/// behind the newest record of the first page, and meets all that came later. If
+/// the store has dropped records there, all keys are read once more, and the run
+/// begins at the first record that was kept before these pages were asked for.
 class KeyedTable
 {
 public:
@@ -32,9 +34,9 @@
     /// Takes the records of one read.
     void takeRun(const KeyedRun &run, std::vector<KeyedChange> &changes);
 
-    /// The store no longer has what follows the first page's newest record: reads on from
-    /// the end that they stated.
-    void skipToEnd();
+    /// The store no longer has the records before \a firstKept: pages must be read
+    /// again, and what is read on from there meets all that these may lack.
+    void skipTo(StoreOffset firstKept);
 
     /// Where to read on.
     [[nodiscard]] StoreOffset next() const
@@ -52,6 +54,7 @@
     std::map<std::string, StoreOffset> m_offsets; ///< Of each key's newest record.
     std::map<std::string, StoreOffset> m_unseen; ///< Keys known before the pages that none has held yet.
     StoreOffset m_next;
+    StoreOffset m_firstKept; ///< Nothing before it can be read any more, as far as is known.
     StoreOffset m_end; ///< As the first page stated it.
     bool m_firstPage = false;
 };
