Ask endpoints of stages for their memory; drop a gone planner's results at their makers

A report taken as exact starves small rooms: it is rounded down. Mend: ResultMemory, moved out of the planner, accounts for others' results from the endpoint's report; daemons release results of a planner that is gone at their makers.

--- a/src/follow/keyed_follower_test.cc
+++ b/src/follow/keyed_follower_test.cc
@@ -153,7 +153,8 @@
     store.pages = {page("a", "1", 3, 40), page("a", "9", 39, 40)};
     store.runs = {dropped(40), KeyedRun{{{"a", "10", StoreOffset(40)}}, StoreOffset(41)}};
     const auto recorder = run(store);
-    const std::vector<std::string> expected = {"reached", "all: a=1", "reached", "all: a=9", "reached", "changes: a=10"};
+    const std::vector<std::string> expected = {"reached",  "all: a=1", "reached",
+                                               "all: a=9", "reached",  "changes: a=10"};
     cr_assert(recorder.events == expected);
 }
 
--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -3,9 +3,9 @@
 // by themselves exactly when there is much to do. Pieces whose request can still
 // be on time go first, then by rank and by the time at which they are due.
 //
-// The results of a call take memory at its maker until they are dropped. The
-// planner counts what it knows of and never begins a call whose results would
-// not fit; an endpoint that says otherwise is believed and paused.
+// The results of a call take memory at its maker until they are dropped. No call
+// is begun whose results would not fit by ResultMemory's account; an endpoint that
+// has no room all the same is paused and asked.
 
 #include "forward/batch_planner.h"
 
@@ -29,8 +29,16 @@
 
 } // namespace
 
-BatchPlanner::BatchPlanner(const BatchRule &rule, const BatchPlannerOptions &options) : m_rule(rule), m_options(options)
+BatchPlanner::BatchPlanner(const BatchRule &rule, const BatchPlannerOptions &options)
+    : m_options(options), m_memory(options.memory)
 {
+    setRule(rule);
+}
+
+void BatchPlanner::setRule(const BatchRule &rule)
+{
+    m_rule = rule;
+    m_memory.setRule(rule.resultBytes, rule.resultLifetime);
 }
 
 void BatchPlanner::setEndpoints(const std::vector<ListedEndpoint> &endpoints)
@@ -42,11 +50,19 @@
         auto &state = m_endpoints[listed.info.id];
         if (state.listed.startedAtMs != listed.startedAtMs && state.listed.startedAtMs != 0) {
             state = EndpointState(); // It holds nothing of before its restart.
+            m_memory.remove(listed.info.id);
         }
+        m_memory.add(listed.info.id, listed.info.address);
         state.listed = listed;
         state.usable = !listed.info.leaving;
     }
-    std::erase_if(m_endpoints, [](const auto &entry) { return !entry.second.usable && entry.second.running == 0; });
+    std::erase_if(m_endpoints, [this](const auto &entry) {
+        const bool gone = !entry.second.usable && entry.second.running == 0;
+        if (gone) {
+            m_memory.remove(entry.first);
+        }
+        return gone;
+    });
 }
 
 PieceOrderId BatchPlanner::add(PieceOrder order)
@@ -71,7 +87,7 @@
     }
     std::erase_if(m_queue, [&](const auto &piece) { return piece.order == id; });
     for (const auto &handle : it->second.handles) {
-        drop(handle);
+        m_memory.drop(handle);
     }
     m_orders.erase(it);
 }
@@ -92,7 +108,7 @@
         auto &endpoint = it->second;
         --endpoint.running;
         endpoint.failures = 0;
-        endpoint.usedBytes -= std::min(endpoint.usedBytes, running.bytes);
+        m_memory.unreserve(running.endpoint, running.bytes);
         const auto ratio = std::chrono::duration<double>(now - running.begunAt)
             / std::max<std::chrono::duration<double>>(running.expected, std::chrono::milliseconds(1));
         endpoint.pace += m_options.paceMemory * (ratio - endpoint.pace);
@@ -108,10 +124,10 @@
 {
     const auto it = m_orders.find(piece.order);
     if (result.outcome == PieceOutcome::Done) {
-        keep(result.handle, endpoint, it == m_orders.end() ? 0 : it->second.order.resultBytes, now);
+        m_memory.keep(result.handle, endpoint, it == m_orders.end() ? 0 : it->second.order.resultBytes, now);
     }
     if (it == m_orders.end()) {
-        drop(result.handle);
+        m_memory.drop(result.handle);
         return;
     }
     switch (result.outcome) {
@@ -125,6 +141,7 @@
         if (const auto state = m_endpoints.find(endpoint); state != m_endpoints.end()) {
             state->second.pausedUntil = std::max(state->second.pausedUntil, now + m_options.refusedPause);
         }
+        m_memory.noRoom(endpoint);
         retry(piece, result.outcome);
         break;
     case PieceOutcome::Failed:
@@ -148,7 +165,7 @@
     if (const auto it = m_endpoints.find(running.endpoint); it != m_endpoints.end()) {
         auto &endpoint = it->second;
         --endpoint.running;
-        endpoint.usedBytes -= std::min(endpoint.usedBytes, running.bytes);
+        m_memory.unreserve(running.endpoint, running.bytes);
         if (failure == BatchFailure::NotRun) {
             endpoint.pausedUntil = std::max(endpoint.pausedUntil, now + m_options.refusedPause);
         } else {
@@ -208,38 +225,6 @@
     m_orders.erase(it);
 }
 
-void BatchPlanner::keep(const ResultHandle &handle, const EndpointId &endpoint, std::uint64_t bytes, TimePoint now)
-{
-    m_kept[handle] = {endpoint, bytes, now + m_rule.resultLifetime};
-    if (const auto it = m_endpoints.find(endpoint); it != m_endpoints.end()) {
-        it->second.usedBytes += bytes;
-    }
-}
-
-void BatchPlanner::drop(const ResultHandle &handle)
-{
-    const auto node = m_kept.extract(handle);
-    if (node.empty()) {
-        return;
-    }
-    const auto it = m_endpoints.find(node.mapped().endpoint);
-    if (it == m_endpoints.end()) {
-        return;
-    }
-    auto &release = m_releases[it->first];
-    release.endpoint = it->first;
-    release.address = it->second.listed.info.address;
-    release.handles.push_back(handle);
-    release.bytes += node.mapped().bytes;
-}
-
-void BatchPlanner::releaseEnded(const ResultRelease &release)
-{
-    if (const auto it = m_endpoints.find(release.endpoint); it != m_endpoints.end()) {
-        it->second.usedBytes -= std::min(it->second.usedBytes, release.bytes);
-    }
-}
-
 void BatchPlanner::handOver()
 {
     std::map<PieceOrderId, int> queued;
@@ -251,26 +236,23 @@
             endOrder(id, PieceOutcome::Moved);
         }
     }
+    m_memory.forgetOthers();
 }
 
-void BatchPlanner::release(const std::vector<ResultHandle> &handles)
+std::vector<ResultHandle> BatchPlanner::release(const std::vector<ResultHandle> &handles)
 {
+    std::vector<ResultHandle> unknown;
     for (const auto &handle : handles) {
-        drop(handle);
+        if (!m_memory.drop(handle)) {
+            unknown.push_back(handle);
+        }
     }
+    return unknown;
 }
 
-void BatchPlanner::dropOldResults(TimePoint now)
+std::vector<MemoryQuestion> BatchPlanner::takeQuestions(TimePoint now)
 {
-    std::erase_if(m_kept, [&](const auto &entry) {
-        if (now < entry.second.dropsAt) {
-            return false;
-        }
-        if (const auto it = m_endpoints.find(entry.second.endpoint); it != m_endpoints.end()) {
-            it->second.usedBytes -= std::min(it->second.usedBytes, entry.second.bytes);
-        }
-        return true;
-    });
+    return m_queue.empty() ? std::vector<MemoryQuestion>() : m_memory.takeQuestions(now);
 }
 
 void BatchPlanner::dropExpired(TimePoint now)
@@ -369,7 +351,8 @@
 {
     std::vector<EndpointState *> idle;
     for (auto &[id, state] : m_endpoints) {
-        if (state.usable && state.running < m_rule.slots && state.pausedUntil <= now) {
+        const bool free = state.usable && state.running < m_rule.slots && state.pausedUntil <= now;
+        if (free && m_memory.isKnown(id, now)) {
             idle.push_back(&state);
         }
     }
@@ -465,16 +448,6 @@
     return done > (isLate(order, now) ? order.expiresAt : order.dueAt);
 }
 
-bool BatchPlanner::fits(const PieceOrder &order, std::size_t pieces, const RunningCall &call,
-                        const EndpointState &endpoint) const
-{
-    if (m_rule.resultBytes == 0 || order.resultBytes == 0) {
-        return true;
-    }
-    const auto used = endpoint.usedBytes + call.bytes;
-    return used + order.resultBytes * pieces <= m_rule.resultBytes || (used == 0 && pieces == 1);
-}
-
 // Orders are taken whole where they fit, since an order is done only when all its
 // pieces are. One that is larger than an empty call is split.
 std::optional<BatchCall> BatchPlanner::fillCall(EndpointState &endpoint, const std::map<ZoneId, ZoneWait> &waits,
@@ -491,7 +464,7 @@
         if (mayGoTo(order, endpoint.listed.info.zone, waits, now)) {
             const auto count = static_cast<std::size_t>(end - begin);
             auto n = std::min(count, most - running.pieces.size());
-            while (n > 0 && !fits(order, n, running, endpoint)) {
+            while (n > 0 && !m_memory.fits(endpoint.listed.info.id, order.resultBytes, n, running.bytes)) {
                 --n;
             }
             if (n == count || running.pieces.empty()) {
@@ -520,7 +493,7 @@
     running.begunAt = now;
     running.expected = expectedTime(running.pieces.size());
     ++endpoint.running;
-    endpoint.usedBytes += running.bytes;
+    m_memory.reserve(running.endpoint, running.bytes);
     endpoint.freeAt = now + scaled(running.expected, endpoint.pace);
     BatchCall call;
     call.id = m_lastCall;
@@ -536,7 +509,7 @@
 
 std::vector<BatchCall> BatchPlanner::takeCalls(TimePoint now)
 {
-    dropOldResults(now);
+    m_memory.expire(now);
     dropExpired(now);
     std::vector<BatchCall> calls;
     const auto idle = idleEndpoints(now);
@@ -564,17 +537,6 @@
     return std::exchange(m_ended, {});
 }
 
-std::vector<ResultRelease> BatchPlanner::takeReleases()
-{
-    std::vector<ResultRelease> releases;
-    releases.reserve(m_releases.size());
-    for (auto &[endpoint, release] : m_releases) {
-        releases.push_back(std::move(release));
-    }
-    m_releases.clear();
-    return releases;
-}
-
 std::optional<TimePoint> BatchPlanner::nextTurn(TimePoint now) const
 {
     if (m_queue.empty()) {
@@ -589,8 +551,8 @@
     for (const auto &[id, state] : m_endpoints) {
         take(state.pausedUntil);
     }
-    for (const auto &[handle, kept] : m_kept) {
-        take(kept.dropsAt);
+    if (const auto change = m_memory.nextChange(now)) {
+        take(*change);
     }
     for (const auto &piece : m_queue) {
         take(m_orders.at(piece.order).order.expiresAt - m_rule.callTime);
--- a/src/forward/batch_planner.h
+++ b/src/forward/batch_planner.h
@@ -5,6 +5,7 @@
 #include "forward/gateway_configuration.h"
 #include "forward/listed_endpoint.h"
 #include "forward/piece.h"
+#include "forward/result_memory.h"
 
 #include <deque>
 #include <map>
@@ -57,14 +58,6 @@
     Duration timeout{}; ///< Longer than any sound endpoint takes.
 };
 
-/// Results that one endpoint is to drop.
-struct ResultRelease {
-    EndpointId endpoint;
-    Address address;
-    std::vector<ResultHandle> handles;
-    std::uint64_t bytes = 0; ///< Their memory.
-};
-
 /// How a call failed as a whole.
 enum class BatchFailure {
     NotRun, ///< The endpoint did not run it, or no byte left.
@@ -84,6 +77,7 @@
     double leastSpare = 0.5; ///< Part of the endpoints' time that orders which are late may count on at least.
     std::uint64_t farBytes = 1'000'000; ///< An order waits for a zone only to save more than this.
     double paceMemory = 0.3; ///< Weight of a new sample of an endpoint's pace.
+    ResultMemoryOptions memory;
 };
 
 /// What is known of a planner's load; for estimates.
@@ -102,10 +96,7 @@
 public:
     BatchPlanner(const BatchRule &rule, const BatchPlannerOptions &options);
 
-    void setRule(const BatchRule &rule)
-    {
-        m_rule = rule;
-    }
+    void setRule(const BatchRule &rule);
     /// The endpoints that may get calls. Those that left finish what they have.
     void setEndpoints(const std::vector<ListedEndpoint> &endpoints);
 
@@ -117,18 +108,30 @@
     void failed(BatchCallId call, BatchFailure failure, TimePoint now);
     /// Another planner takes over: ends, as moved, all orders of which nothing was begun.
     void handOver();
-    /// Results are no longer needed.
-    void release(const std::vector<ResultHandle> &handles);
+    /// Results are no longer needed; gives those that this planner doesn't know.
+    [[nodiscard]] std::vector<ResultHandle> release(const std::vector<ResultHandle> &handles);
 
     /// Calls to be made now.
     [[nodiscard]] std::vector<BatchCall> takeCalls(TimePoint now);
     /// Orders that ended since the last call.
     [[nodiscard]] std::vector<EndedOrder> takeEnded();
-    /// Results to be dropped at their makers. Their memory counts as free only once
-    /// the maker has answered: a call that overtook the release would find no room.
-    [[nodiscard]] std::vector<ResultRelease> takeReleases();
+    /// Results to be dropped at their makers.
+    [[nodiscard]] std::vector<ResultRelease> takeReleases()
+    {
+        return m_memory.takeReleases();
+    }
     /// The maker of \a release has answered, or can't be reached.
-    void releaseEnded(const ResultRelease &release);
+    void releaseEnded(const ResultRelease &release)
+    {
+        m_memory.releaseEnded(release);
+    }
+    /// Endpoints to be asked for their memory, while orders wait.
+    [[nodiscard]] std::vector<MemoryQuestion> takeQuestions(TimePoint now);
+    /// \a endpoint has at most \a freeBytes left for results.
+    void memoryStated(const EndpointId &endpoint, std::uint64_t freeBytes)
+    {
+        m_memory.stated(endpoint, freeBytes);
+    }
     /// When takeCalls() may give more without a new event; absent if never.
     [[nodiscard]] std::optional<TimePoint> nextTurn(TimePoint now) const;
     [[nodiscard]] BatchLoad load(TimePoint now) const;
@@ -161,16 +164,10 @@
         Duration expected{};
         std::uint64_t bytes = 0; ///< Memory reserved for its results.
     };
-    struct KeptResult {
-        EndpointId endpoint;
-        std::uint64_t bytes = 0;
-        TimePoint dropsAt; ///< The endpoint drops it by itself then.
-    };
     struct EndpointState {
         ListedEndpoint listed;
         bool usable = false; ///< Listed and not leaving.
         int running = 0;
-        std::uint64_t usedBytes = 0;
         int failures = 0; ///< In a row.
         TimePoint pausedUntil;
         double pace = 1.0; ///< Time of its calls over the expected time.
@@ -187,7 +184,6 @@
     [[nodiscard]] bool isLate(const PieceOrder &order, TimePoint now) const;
     void countOnTime(std::size_t pieces, TimePoint now);
     [[nodiscard]] double spareShare(const std::vector<CallSlot> &slots, TimePoint now) const;
-    void dropOldResults(TimePoint now);
     void sortQueue(TimePoint now);
     [[nodiscard]] std::vector<EndpointState *> idleEndpoints(TimePoint now);
     [[nodiscard]] bool worthUsing(const EndpointState &endpoint, TimePoint now) const;
@@ -197,15 +193,11 @@
                                TimePoint now) const;
     [[nodiscard]] std::optional<BatchCall> fillCall(EndpointState &endpoint, const std::map<ZoneId, ZoneWait> &waits,
                                                     TimePoint now);
-    [[nodiscard]] bool fits(const PieceOrder &order, std::size_t pieces, const RunningCall &call,
-                            const EndpointState &endpoint) const;
     [[nodiscard]] BatchCall beginCall(EndpointState &endpoint, RunningCall running, TimePoint now);
     [[nodiscard]] BatchPiece describe(const QueuedPiece &piece, TimePoint now) const;
     void finishPiece(const QueuedPiece &piece, const PieceResult &result, const EndpointId &endpoint, TimePoint now);
     void retry(QueuedPiece piece, PieceOutcome outcome);
     void endOrder(PieceOrderId id, PieceOutcome outcome);
-    void keep(const ResultHandle &handle, const EndpointId &endpoint, std::uint64_t bytes, TimePoint now);
-    void drop(const ResultHandle &handle);
     void pause(EndpointState &endpoint, TimePoint now);
     void noteBelief(EndpointState &endpoint, TimePoint now);
 
@@ -215,9 +207,8 @@
     Queue m_queue; ///< Pieces of one order stand together once it is sorted.
     std::map<BatchCallId, RunningCall> m_calls;
     std::map<EndpointId, EndpointState> m_endpoints;
-    std::map<ResultHandle, KeptResult> m_kept;
+    ResultMemory m_memory;
     std::vector<EndedOrder> m_ended;
-    std::map<EndpointId, ResultRelease> m_releases;
     EndpointNewsList m_news;
     PieceOrderId m_lastOrder;
     BatchCallId m_lastCall;
--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -124,7 +124,7 @@
                         const auto prefix = it->second.request.str() + "/" + std::to_string(i) + "@";
                         RC_ASSERT(ended.result.handles[static_cast<std::size_t>(i)].str().starts_with(prefix));
                     }
-                    planner.release(ended.result.handles);
+                    static_cast<void>(planner.release(ended.result.handles));
                 }
                 open.erase(it);
             }
@@ -210,7 +210,7 @@
     planner.ended(first[0].id, done(first[0]), kStart + 200ms);
     const auto ended = planner.takeEnded();
     cr_assert(planner.takeCalls(kStart + 200ms).empty());
-    planner.release(ended[0].result.handles);
+    cr_assert(planner.release(ended[0].result.handles).empty());
     const auto releases = planner.takeReleases();
     cr_assert_eq(releases.size(), 1);
     cr_assert(planner.takeCalls(kStart + 210ms).empty()); // The maker may not have heard of it yet.
@@ -405,3 +405,27 @@
     cr_assert_eq(last.size(), 1);
     cr_assert(last.front().id == begun && last.front().result.outcome == PieceOutcome::Done);
 }
+
+// The load after a planner was killed: what it had made fills its endpoints, and
+// calls whose results find no room take as long as others.
+Test(batch_planner, a_new_planner_sends_only_what_fits_beside_results_of_the_last_one)
+{
+    BatchPlanner planner(rule(8, 10), {});
+    planner.setEndpoints({endpoint("full"), endpoint("half")});
+    for (int i = 0; i < 4; ++i) {
+        auto it = order("r" + std::to_string(i), 2);
+        it.resultBytes = 2;
+        planner.add(it);
+    }
+    cr_assert_eq(planner.takeQuestions(kStart).size(), 2);
+    cr_assert(planner.takeCalls(kStart).empty()); // Not before the endpoints have said what they have.
+    planner.memoryStated(EndpointId("full"), 0);
+    planner.memoryStated(EndpointId("half"), 5);
+    const auto calls = planner.takeCalls(kStart + 5ms);
+    cr_assert_eq(calls.size(), 1);
+    cr_assert(calls[0].endpoint.info.id == EndpointId("half"));
+    cr_assert_eq(calls[0].pieces.size(), 2);
+    cr_assert_eq(planner.takeQuestions(kStart + 300ms).size(), 2);
+    planner.memoryStated(EndpointId("full"), 10); // The results there have expired.
+    cr_assert_eq(planner.takeCalls(kStart + 310ms).size(), 1);
+}
--- a/src/forward/daemon_book.cc
+++ b/src/forward/daemon_book.cc
@@ -92,6 +92,12 @@
     return it == m_daemons.end() ? std::nullopt : std::optional(it->second.entry.peers);
 }
 
+bool DaemonBook::answers(const InstanceId &daemon) const
+{
+    const auto it = m_daemons.find(daemon);
+    return it != m_daemons.end() && !it->second.avoided;
+}
+
 void DaemonBook::began(const InstanceId &daemon, TimePoint now)
 {
     const auto it = m_daemons.find(daemon);
--- a/src/forward/daemon_book.h
+++ b/src/forward/daemon_book.h
@@ -52,6 +52,8 @@
     /// The daemon that plans for \a key; this one's id if no other is known.
     [[nodiscard]] InstanceId ownerOf(std::string_view key) const;
     [[nodiscard]] std::optional<Address> addressOf(const InstanceId &daemon) const;
+    /// Whether \a daemon is listed and has not fallen silent.
+    [[nodiscard]] bool answers(const InstanceId &daemon) const;
     /// Work was handed to \a daemon at \a now, or has ended.
     void began(const InstanceId &daemon, TimePoint now);
     void ended(const InstanceId &daemon);
--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -89,6 +89,10 @@
     [[nodiscard]] virtual std::optional<Address> makerOf(const ResultHandle &handle) const = 0;
     /// A call that drops results at their maker.
     [[nodiscard]] virtual http::Request writeRelease(const std::vector<ResultHandle> &handles) const = 0;
+    /// A call that asks an endpoint of stages for its memory.
+    [[nodiscard]] virtual http::Request writeMemoryQuestion() const = 0;
+    /// Bytes that the endpoint has left for results, at most. Error: InvalidArgument.
+    [[nodiscard]] virtual absl::StatusOr<std::uint64_t> readFreeMemory(std::string_view body) const = 0;
 };
 
 } // namespace mimosahub
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -41,7 +41,7 @@
     {
         leaveDaemon();
         if (m_address && !m_handles.empty()) {
-            m_router.m_service->release(*m_address, m_service, std::move(m_handles));
+            m_router.releaseRemote(m_daemon, *m_address, m_service, std::move(m_handles));
         }
     }
     Ticket(const Ticket &) = delete;
@@ -298,6 +298,18 @@
     return local;
 }
 
+// A planner that is gone or silent releases nothing: its results would fill their
+// makers' memory until they expire.
+void StageRouter::releaseRemote(const InstanceId &daemon, const Address &address, const ServiceId &service,
+                                std::vector<ResultHandle> handles)
+{
+    if (m_daemons.answers(daemon)) {
+        m_service->release(address, service, std::move(handles));
+    } else {
+        m_runner.release(service, handles);
+    }
+}
+
 void StageRouter::release(const ServiceId &service, const std::vector<ResultHandle> &handles)
 {
     m_runner.release(service, handles);
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -42,6 +42,8 @@
     std::unique_ptr<PeerOrder> begin(const ServiceId &service, const PieceOrder &order, OrderDone done) override;
     void release(const ServiceId &service, const std::vector<ResultHandle> &handles) override;
     std::vector<ServiceLoad> loads() override;
+    void releaseRemote(const InstanceId &daemon, const Address &address, const ServiceId &service,
+                       std::vector<ResultHandle> handles);
 
     void handOver();
     void start(Ticket &ticket);
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -18,6 +18,7 @@
 
 constexpr Duration kLoadLineInterval = std::chrono::seconds(2); ///< Between two lines on one service's load.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(2);
+constexpr Duration kQuestionTimeout = std::chrono::milliseconds(500); ///< For an endpoint's memory.
 constexpr std::uint64_t kMaxAnswer = std::uint64_t(4) << 20U; ///< Bytes of a call's answer.
 
 BatchFailure failureOf(const http::ClientConnection &connection)
@@ -42,7 +43,7 @@
         }
         desk->waiting.erase(m_id);
         desk->planner.cancel(m_id);
-        desk->planner.release(m_handles);
+        m_runner.release(*desk, m_handles);
         m_runner.schedule(m_service);
     }
     Ticket(const Ticket &) = delete;
@@ -139,11 +140,25 @@
 void StageRunner::release(const ServiceId &service, const std::vector<ResultHandle> &handles)
 {
     if (auto *desk = deskOf(service)) {
-        desk->planner.release(handles);
+        release(*desk, handles);
         schedule(service);
     }
 }
 
+// Results of a planner that is gone are dropped at their makers without account.
+void StageRunner::release(Desk &desk, const std::vector<ResultHandle> &handles)
+{
+    std::map<Address, std::vector<ResultHandle>> unknown;
+    for (auto &handle : desk.planner.release(handles)) {
+        if (const auto maker = m_protocol.makerOf(handle)) {
+            unknown[*maker].push_back(std::move(handle));
+        }
+    }
+    for (auto &[maker, results] : unknown) {
+        http::spawn(m_io, dropUnknown(maker, std::move(results)));
+    }
+}
+
 void StageRunner::handOver(const ServiceId &service)
 {
     if (auto *desk = deskOf(service)) {
@@ -179,6 +194,9 @@
 {
     auto &desk = *deskOf(service);
     desk.pumpPosted = false;
+    for (auto &question : desk.planner.takeQuestions(m_clock.now())) {
+        http::spawn(m_io, ask(service, std::move(question)));
+    }
     for (auto &call : desk.planner.takeCalls(m_clock.now())) {
         m_calls.add();
         m_pieces.add(call.pieces.size());
@@ -288,4 +306,25 @@
     schedule(service);
 }
 
+http::Awaitable<void> StageRunner::dropUnknown(Address maker, std::vector<ResultHandle> handles)
+{
+    const auto answer = co_await m_pool.call(maker, m_protocol.writeRelease(handles), kReleaseTimeout);
+    if (!answer.ok()) {
+        logEvent(LogLevel::Debug, "release-failed").with(answer.status());
+    }
+}
+
+http::Awaitable<void> StageRunner::ask(ServiceId service, MemoryQuestion question)
+{
+    const auto answer = co_await m_pool.call(question.address, m_protocol.writeMemoryQuestion(), kQuestionTimeout);
+    const auto free = answer.ok() ? m_protocol.readFreeMemory(answer->body()) : answer.status();
+    if (!free.ok()) {
+        logEvent(LogLevel::Debug, "memory-unknown").with("endpoint", question.endpoint).with(free.status());
+        co_return;
+    }
+    logEvent(LogLevel::Info, "memory").with("endpoint", question.endpoint).with("free", *free);
+    deskOf(service)->planner.memoryStated(question.endpoint, *free);
+    schedule(service);
+}
+
 } // namespace mimosahub
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -30,7 +30,7 @@
 
     [[nodiscard]] std::unique_ptr<StageTicket> submit(const ServiceId &service, PieceOrder order, Done done) override;
     [[nodiscard]] BatchLoad load(const ServiceId &service) override;
-    /// Results are no longer needed.
+    /// Results are no longer needed, whoever planned them.
     void release(const ServiceId &service, const std::vector<ResultHandle> &handles);
     /// Another daemon plans for \a service now: ends the orders that wait here.
     void handOver(const ServiceId &service);
@@ -58,6 +58,9 @@
     void armTimer(const ServiceId &service, Desk &desk);
     http::Awaitable<void> run(ServiceId service, BatchCall call);
     http::Awaitable<void> drop(ServiceId service, ResultRelease release);
+    http::Awaitable<void> dropUnknown(Address maker, std::vector<ResultHandle> handles);
+    http::Awaitable<void> ask(ServiceId service, MemoryQuestion question);
+    void release(Desk &desk, const std::vector<ResultHandle> &handles);
     void failed(const ServiceId &service, const BatchCall &call, BatchFailure failure, const absl::Status &status);
 
     boost::asio::io_context &m_io;
