Try: let reads of the store wait long while other daemons vouch that nothing is missing

Marks of tables, with their age, travel with results of stage orders; while they are fresh a read may wait 20 s.

--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -19,6 +19,7 @@
     const GatewaySettings &settings;
     const GatewayViews &views;
     const CallProtocol &protocol;
+    MarkBoard &marks;
     MetricRegistry &metrics;
 };
 
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -90,7 +90,8 @@
         if (answering) {
             boost::asio::post(m_io, [done] {
                 done({{PieceOutcome::Done, {ResultHandle("h0"), ResultHandle("h1"), ResultHandle("h2")}},
-                      {5, 2, 40ms, 200ms}});
+                      {5, 2, 40ms, 200ms},
+                      {{StoreTable::Endpoints, StoreOffset(17), 300ms}}});
             });
         } else {
             held.push_back(done);
