--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -39,14 +39,8 @@
   callUs @4 :Int64;
 }
 
-struct TableMark {
-  table @0 :UInt8;
-  end @1 :UInt64;
-  ageUs @2 :Int64;
-}
-
 interface StageProtocol {
-  run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad, marks :List(TableMark));
+  run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (loads :List(BatchLoad));
 }
--- a/src/follow/keyed_follower.cc
+++ b/src/follow/keyed_follower.cc
@@ -1,6 +1,4 @@
-// One coroutine: read all keys if there is a gap, else read on. A read that waits
-// long is watched: it is given up when what other daemons tell shows that it was
-// lost, or when they fall silent. Failures are
+// One coroutine: read all keys if there is a gap, else read on. Failures are
 // retried after a jittered delay, so that daemons which lost the store together
 // don't return together.
 
@@ -19,23 +17,13 @@
 using namespace boost::asio::experimental::awaitable_operators;
 
 constexpr Duration kLongestRead = std::chrono::hours(1); ///< Far above any read's own time limit.
-constexpr Duration kWatchInterval = std::chrono::milliseconds(100); ///< Between two looks at others' marks.
 constexpr Duration kGapPause = std::chrono::milliseconds(5); ///< Before reading on after a gap.
 
 } // namespace
 
-KeyedFollower::KeyedFollower(boost::asio::io_context &io, const Clock &clock, KeyedStore &store, Listener &listener,
-                             MarkBoard &marks, Random &random, KeyedFollowerOptions options)
-    : m_io(io),
-      m_clock(clock),
-      m_store(store),
-      m_listener(listener),
-      m_marks(marks),
-      m_random(random),
-      m_options(options),
-      m_evidence({options.wait, options.relyingWait, options.longestAge}),
-      m_timer(io),
-      m_readAgain(io)
+KeyedFollower::KeyedFollower(boost::asio::io_context &io, KeyedStore &store, Listener &listener, Random &random,
+                             KeyedFollowerOptions options)
+    : m_io(io), m_store(store), m_listener(listener), m_random(random), m_options(options), m_timer(io), m_readAgain(io)
 {
 }
 
@@ -109,34 +97,10 @@
     co_return true;
 }
 
-void KeyedFollower::compareMarks()
-{
-    m_evidence.compare(m_table.next(), m_marks.heard(m_options.table), m_clock.now());
-    if (const auto provenAt = m_evidence.provenAt()) {
-        m_marks.put(m_options.table, m_table.next(), *provenAt);
-    }
-}
-
-/// Returns when the read under way is to be given up, and no later than the read.
-http::Awaitable<void> KeyedFollower::watch()
-{
-    const bool relying = m_evidence.wait(m_clock.now()) > m_options.wait;
-    while (!relying || !m_evidence.needsRead(m_clock.now())) {
-        m_timer.expires_after(relying ? kWatchInterval : kLongestRead);
-        if (std::get<0>(co_await m_timer.async_wait(http::kTuple))) {
-            co_return; // The read has ended.
-        }
-        compareMarks();
-    }
-}
-
 http::Awaitable<bool> KeyedFollower::readOn()
 {
-    compareMarks();
-    const auto sentAt = m_clock.now();
-    const auto wait = m_evidence.wait(sentAt);
-    const auto ended = co_await (m_store.read(m_options.table, m_table.next(), wait)
-                                 || m_readAgain.sleep({}, std::nullopt, kLongestRead) || watch());
+    const auto ended = co_await (m_store.read(m_options.table, m_table.next(), m_options.wait)
+                                 || m_readAgain.sleep({}, std::nullopt, kLongestRead));
     const auto *answer = std::get_if<RunOr>(&ended);
     if (m_stopped || answer == nullptr) {
         co_return false;
@@ -159,10 +123,6 @@
     m_listener.storeReached(m_options.table);
     std::vector<KeyedChange> changes;
     m_table.takeRun(*run, changes);
-    if (run->records.empty()) {
-        m_evidence.readNothing(sentAt);
-        compareMarks();
-    }
     if (!changes.empty()) {
         m_listener.tableChanged(m_options.table, std::move(changes), false);
     }
--- a/src/follow/keyed_follower.h
+++ b/src/follow/keyed_follower.h
@@ -3,8 +3,6 @@
 #include "base/backoff.h"
 #include "base/random.h"
 #include "follow/keyed_table.h"
-#include "follow/mark_board.h"
-#include "follow/table_evidence.h"
 #include "http/wake_timer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,8 +17,6 @@
 struct KeyedFollowerOptions {
     StoreTable table = StoreTable::OperatorDocuments;
     Duration wait = std::chrono::seconds(20); ///< Longest wait of one read for a record.
-    Duration relyingWait{}; ///< As \a wait, while other daemons tell that nothing is missing; 0: never relies on them.
-    Duration longestAge{}; ///< Of what others tell.
     Duration pause{}; ///< From the answer of one read to the next one, so that many changes cost one call.
     BackoffOptions backoff = {std::chrono::milliseconds(100), 2.0, std::chrono::milliseconds(800), 0.5};
 };
@@ -46,8 +42,8 @@
     };
 
     /// All arguments must outlive the follower.
-    KeyedFollower(boost::asio::io_context &io, const Clock &clock, KeyedStore &store, Listener &listener,
-                  MarkBoard &marks, Random &random, KeyedFollowerOptions options);
+    KeyedFollower(boost::asio::io_context &io, KeyedStore &store, Listener &listener, Random &random,
+                  KeyedFollowerOptions options);
 
     void start();
     void stop();
@@ -72,20 +68,15 @@
     http::Awaitable<void> loop();
     http::Awaitable<bool> readAll();
     http::Awaitable<bool> readOn();
-    http::Awaitable<void> watch();
-    void compareMarks();
     http::Awaitable<void> sleep(Duration duration);
     void failed(const absl::Status &status);
 
     boost::asio::io_context &m_io;
-    const Clock &m_clock;
     KeyedStore &m_store;
     Listener &m_listener;
-    MarkBoard &m_marks;
     Random &m_random;
     KeyedFollowerOptions m_options;
     KeyedTable m_table;
-    TableEvidence m_evidence;
     boost::asio::steady_timer m_timer;
     WakeTimer m_readAgain; ///< Sleeps beside a read; waking it ends the read.
     int m_failures = 0; ///< In a row.
--- a/src/follow/keyed_follower_test.cc
+++ b/src/follow/keyed_follower_test.cc
@@ -89,9 +89,7 @@
     Random random(1);
     KeyedFollowerOptions options;
     options.backoff = {1ms, 1.0, 1ms, 0.0};
-    SystemClock clock;
-    MarkBoard marks;
-    KeyedFollower follower(io, clock, store, recorder, marks, random, options);
+    KeyedFollower follower(io, store, recorder, random, options);
     store.onExhausted = [&] { follower.stop(); };
     store.onHang = [&] { boost::asio::post(io, [&] { follower.readAgain(); }); };
     follower.start();
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -20,7 +20,6 @@
 
 constexpr Duration kAnnouncePause = std::chrono::seconds(2);
 constexpr BackoffOptions kAnnounceBackoff = {std::chrono::milliseconds(200), 2.0, std::chrono::seconds(2), 0.5};
-constexpr Duration kRelyingWait = std::chrono::seconds(20); ///< Of a read for which other daemons vouch.
 constexpr Duration kLeavePatience = std::chrono::milliseconds(500);
 
 /// A read that waits on a connection that has gone silent keeps an old
@@ -37,8 +36,6 @@
     KeyedFollowerOptions options;
     options.table = StoreTable::OperatorDocuments;
     options.wait = std::chrono::seconds(5);
-    options.relyingWait = kRelyingWait;
-    options.longestAge = std::chrono::seconds(8); // Above the wait of those that others rely on.
     return options;
 }
 
@@ -62,16 +59,14 @@
     options.table = StoreTable::Endpoints;
     options.pause = settings.endpointPoll();
     options.wait = Duration::zero(); // Read often without waiting, it soon shows whether the store answers.
-    options.relyingWait = kRelyingWait;
-    options.longestAge = settings.relyingAge();
     return options;
 }
 
 } // namespace
 
 GatewayControl::GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
-                               const MakeStore &makeStore, MetricRegistry &metrics, MarkBoard &marks,
-                               GatewayViews &views, std::function<void()> onView, std::uint64_t seed)
+                               const MakeStore &makeStore, MetricRegistry &metrics, GatewayViews &views,
+                               std::function<void()> onView, std::uint64_t seed)
     : m_clock(clock),
       m_documents(documents),
       m_views(views),
@@ -80,9 +75,9 @@
       m_random(seed),
       m_pool(m_io, clock, storePoolOptions()),
       m_store(makeStore(m_pool, settings.store.address)),
-      m_operators(m_io, clock, *m_store, *this, marks, m_random, documentOptions()),
-      m_endpoints(m_io, clock, *m_store, *this, marks, m_random, endpointOptions(settings.store)),
-      m_daemons(m_io, clock, *m_store, *this, marks, m_random, daemonOptions()),
+      m_operators(m_io, *m_store, *this, m_random, documentOptions()),
+      m_endpoints(m_io, *m_store, *this, m_random, endpointOptions(settings.store)),
+      m_daemons(m_io, *m_store, *this, m_random, daemonOptions()),
       m_directory(settings.store.lapseGrace),
       m_self(entryOf(settings, clock)),
       m_announceTimer(m_io),
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -27,7 +27,7 @@
 
     /// All arguments must outlive this object. \a onView is called after each new view.
     GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
-                   const MakeStore &makeStore, MetricRegistry &metrics, MarkBoard &marks, GatewayViews &views,
+                   const MakeStore &makeStore, MetricRegistry &metrics, GatewayViews &views,
                    std::function<void()> onView, std::uint64_t seed);
     ~GatewayControl() override;
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -131,14 +131,13 @@
     GatewayViews views(std::make_shared<GatewayView>());
     const auto seed =
         hashBytes(settings.instance.id.str(), static_cast<std::uint64_t>(clock.wallTime().time_since_epoch().count()));
-    MarkBoard marks;
-    auto traffic = GatewayTraffic::create({clock, settings, views, adapter.calls, marks, metrics}, seed);
+    auto traffic = GatewayTraffic::create({clock, settings, views, adapter.calls, metrics}, seed);
     if (!traffic.ok()) {
         return fail(traffic.status());
     }
     GatewayControl control(
-        clock, settings, adapter.documents, adapter.makeStore, metrics, marks, views,
-        [&] { (*traffic)->viewChanged(); }, seed + 1);
+        clock, settings, adapter.documents, adapter.makeStore, metrics, views, [&] { (*traffic)->viewChanged(); },
+        seed + 1);
     std::atomic<bool> serving{true};
     SideServers sides(control.io(), metrics);
     if (const auto status = sides.listen(settings.listen, [&] { return serving && control.caughtUp(); });
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,12 +25,6 @@
     {
         return leavingBound / 2;
     }
-    /// What others tell of the entries counts for so long: they read at the interval
-    /// above, and a read after it still answers in time.
-    [[nodiscard]] Duration relyingAge() const
-    {
-        return leavingBound * 7 / 10;
-    }
 };
 
 /// Second sends that all daemons together may make of one service's requests.
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -42,8 +42,7 @@
 {
     std::unique_ptr<GatewayTraffic> traffic(new GatewayTraffic(shared, seed));
     auto *self = traffic.get();
-    auto router =
-        StageRouter::create(*self->m_io, shared.clock, shared.settings, self->m_stages, shared.marks, shared.metrics);
+    auto router = StageRouter::create(*self->m_io, shared.clock, shared.settings, self->m_stages, shared.metrics);
     if (!router.ok()) {
         return router.status();
     }
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -19,7 +19,6 @@
     const GatewaySettings &settings;
     const GatewayViews &views;
     const CallProtocol &protocol;
-    MarkBoard &marks;
     MetricRegistry &metrics;
 };
 
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -95,9 +95,9 @@
 
 absl::StatusOr<std::unique_ptr<StageRouter>> StageRouter::create(boost::asio::io_context &io, const Clock &clock,
                                                                  const GatewaySettings &settings, StageRunner &runner,
-                                                                 MarkBoard &marks, MetricRegistry &metrics)
+                                                                 MetricRegistry &metrics)
 {
-    std::unique_ptr<StageRouter> router(new StageRouter(io, clock, settings, runner, marks, metrics));
+    std::unique_ptr<StageRouter> router(new StageRouter(io, clock, settings, runner, metrics));
     auto service = StageService::create(
         rpcOptions(settings), [&io](std::function<void()> work) { boost::asio::post(io, std::move(work)); }, clock,
         *router);
@@ -109,11 +109,10 @@
 }
 
 StageRouter::StageRouter(boost::asio::io_context &io, const Clock &clock, const GatewaySettings &settings,
-                         StageRunner &runner, MarkBoard &marks, MetricRegistry &metrics)
+                         StageRunner &runner, MetricRegistry &metrics)
     : m_clock(clock),
       m_self(settings.instance.id),
       m_runner(runner),
-      m_marks(marks),
       m_daemons(settings.instance.id, {}),
       m_watchTimer(io),
       m_remote(metrics.counter("mimosahub_stage_orders_remote_total", "Orders handed to other daemons.")),
@@ -203,7 +202,6 @@
         return;
     }
     m_daemons.heard(daemon, m_clock.now());
-    m_marks.hear(result->marks, m_clock.now());
     if (result->result.outcome == PieceOutcome::Moved) {
         m_daemons.leaves(daemon);
         startAgain(ticket, "planner-moved");
@@ -295,7 +293,7 @@
             if (kept->m_ticket) {
                 kept->m_ticket->keepResults(); // They are the peer's to release.
             }
-            done({result, m_runner.load(service), m_marks.take(m_clock.now())});
+            done({result, m_runner.load(service)});
         });
     return local;
 }
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/metrics.h"
-#include "follow/mark_board.h"
 #include "forward/daemon_book.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/stage_runner.h"
@@ -25,7 +24,7 @@
     /// Opens the port for other daemons. All arguments must outlive the router.
     static absl::StatusOr<std::unique_ptr<StageRouter>> create(boost::asio::io_context &io, const Clock &clock,
                                                                const GatewaySettings &settings, StageRunner &runner,
-                                                               MarkBoard &marks, MetricRegistry &metrics);
+                                                               MetricRegistry &metrics);
     ~StageRouter() override;
 
     void setDaemons(const std::vector<DaemonEntry> &daemons);
@@ -38,7 +37,7 @@
     class LocalOrder;
 
     StageRouter(boost::asio::io_context &io, const Clock &clock, const GatewaySettings &settings, StageRunner &runner,
-                MarkBoard &marks, MetricRegistry &metrics);
+                MetricRegistry &metrics);
 
     std::unique_ptr<PeerOrder> begin(const ServiceId &service, const PieceOrder &order, OrderDone done) override;
     void release(const ServiceId &service, const std::vector<ResultHandle> &handles) override;
@@ -58,7 +57,6 @@
     const Clock &m_clock;
     InstanceId m_self;
     StageRunner &m_runner;
-    MarkBoard &m_marks; ///< Results of orders carry marks of the store's tables.
     DaemonBook m_daemons;
     std::map<ServiceId, BatchLoad> m_loads; ///< As other daemons said.
     std::set<ServiceId> m_planned; ///< Services for which this daemon plans.
--- a/src/peer/stage_codec.cc
+++ b/src/peer/stage_codec.cc
@@ -115,20 +115,4 @@
     return load;
 }
 
-void writeMark(const TableMark &mark, wire::TableMark::Builder out)
-{
-    out.setTable(static_cast<std::uint8_t>(mark.table));
-    out.setEnd(mark.end.value());
-    out.setAgeUs(toMicroseconds(mark.age));
-}
-
-std::optional<TableMark> readMark(wire::TableMark::Reader in)
-{
-    const auto table = static_cast<StoreTable>(in.getTable());
-    if (storeTableName(table).empty()) {
-        return std::nullopt;
-    }
-    return TableMark{table, StoreOffset(in.getEnd()), std::max(Duration::zero(), fromMicroseconds(in.getAgeUs()))};
-}
-
 } // namespace mimosahub
--- a/src/peer/stage_codec.h
+++ b/src/peer/stage_codec.h
@@ -4,8 +4,6 @@
 #include "peer/stage_service.h"
 #include "wire/stage.capnp.h"
 
-#include <optional>
-
 /// Converts the messages of the stage protocol. Times travel relative to the
 /// moment of writing, since clocks of instances differ.
 namespace mimosahub
@@ -20,8 +18,4 @@
 void writeLoad(const ServiceLoad &load, wire::BatchLoad::Builder out);
 [[nodiscard]] ServiceLoad readLoad(wire::BatchLoad::Reader in);
 
-void writeMark(const TableMark &mark, wire::TableMark::Builder out);
-/// Absent if the table isn't known here.
-[[nodiscard]] std::optional<TableMark> readMark(wire::TableMark::Reader in);
-
 } // namespace mimosahub
--- a/src/peer/stage_service.cc
+++ b/src/peer/stage_service.cc
@@ -50,10 +50,6 @@
                 auto results = context.getResults();
                 writeResult(result.result, results.initResult());
                 writeLoad({service, result.load}, results.initLoad());
-                auto marks = results.initMarks(static_cast<unsigned>(result.marks.size()));
-                for (unsigned i = 0; i < result.marks.size(); ++i) {
-                    writeMark(result.marks[i], marks[i]);
-                }
             })
             .attach(kj::defer([executor = m_executor, open]() { executor([open]() { open->reset(); }); }));
     }
@@ -121,13 +117,7 @@
             auto call = protocol.runRequest();
             writeOrder(service, order, now, call.initOrder());
             return call.send().then([](auto response) {
-                RemoteResult result{readResult(response.getResult()), readLoad(response.getLoad()).load, {}};
-                for (const auto mark : response.getMarks()) {
-                    if (const auto known = readMark(mark)) {
-                        result.marks.push_back(*known);
-                    }
-                }
-                return result;
+                return RemoteResult{readResult(response.getResult()), readLoad(response.getLoad()).load};
             });
         };
         const RpcCallback<RemoteResult> report = [wanted, done = std::move(done)](absl::StatusOr<RemoteResult> result) {
--- a/src/peer/stage_service.h
+++ b/src/peer/stage_service.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "follow/table_mark.h"
 #include "forward/batch_planner.h"
 #include "peer/rpc_network.h"
 
@@ -26,7 +25,6 @@
 struct RemoteResult {
     PieceOrderResult result;
     BatchLoad load; ///< Of the order's service, at its end.
-    std::vector<TableMark> marks; ///< What that daemon knows of the store's tables.
 };
 
 /// An order of a peer while it is under way here; destroying it gives it up.
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -90,8 +90,7 @@
         if (answering) {
             boost::asio::post(m_io, [done] {
                 done({{PieceOutcome::Done, {ResultHandle("h0"), ResultHandle("h1"), ResultHandle("h2")}},
-                      {5, 2, 40ms, 200ms},
-                      {{StoreTable::Endpoints, StoreOffset(17), 300ms}}});
+                      {5, 2, 40ms, 200ms}});
             });
         } else {
             held.push_back(done);
--- a/src/wire/stage.capnp.cc
+++ b/src/wire/stage.capnp.cc
@@ -437,79 +437,6 @@
   0, 5, i_dd5203c32501b4c6, nullptr, nullptr, { &s_dd5203c32501b4c6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<62> b_9b4592b12b491b6c = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    108,  27,  73,  43, 177, 146,  69, 155,
-     12,   0,   0,   0,   1,   0,   3,   0,
-     54,  24,  90,  79, 201, 208, 183, 226,
-      0,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 178,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    115, 116,  97, 103, 101,  46,  99,  97,
-    112, 110, 112,  58,  84,  97,  98, 108,
-    101,  77,  97, 114, 107,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  34,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   2,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
-    116,  97,  98, 108, 101,   0,   0,   0,
-      6,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      6,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    101, 110, 100,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     97, 103, 101,  85, 115,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_9b4592b12b491b6c = b_9b4592b12b491b6c.words;
-#if !CAPNP_LITE
-static const uint16_t m_9b4592b12b491b6c[] = {2, 1, 0};
-static const uint16_t i_9b4592b12b491b6c[] = {0, 1, 2};
-const ::capnp::_::RawSchema s_9b4592b12b491b6c = {
-  0x9b4592b12b491b6c, b_9b4592b12b491b6c.words, 62, nullptr, m_9b4592b12b491b6c,
-  0, 3, i_9b4592b12b491b6c, nullptr, nullptr, { &s_9b4592b12b491b6c, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<49> b_dc31c4e0e7d4eb1f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      31, 235, 212, 231, 224, 196,  49, 220,
@@ -624,17 +551,17 @@
   1, 1, i_c246aa2f5fdcd6c0, nullptr, nullptr, { &s_c246aa2f5fdcd6c0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<67> b_d9ee930ded74d2a9 = {
+static const ::capnp::_::AlignedData<48> b_d9ee930ded74d2a9 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     169, 210, 116, 237,  13, 147, 238, 217,
      26,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      3,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  50,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116,  97, 103, 101,  46,  99,  97,
@@ -642,28 +569,21 @@
     101,  80, 114, 111, 116, 111,  99, 111,
     108,  46, 114, 117, 110,  36,  82, 101,
     115, 117, 108, 116, 115,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  58,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   2,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  50,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-    100,   0,   0,   0,   2,   0,   1,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
     114, 101, 115, 117, 108, 116,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     153, 143,  89, 170, 249,  35,  35, 156,
@@ -678,33 +598,20 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    109,  97, 114, 107, 115,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-    108,  27,  73,  43, 177, 146,  69, 155,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_d9ee930ded74d2a9 = b_d9ee930ded74d2a9.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d9ee930ded74d2a9[] = {
-  &s_9b4592b12b491b6c,
   &s_9c2323f9aa598f99,
   &s_dd5203c32501b4c6,
 };
-static const uint16_t m_d9ee930ded74d2a9[] = {1, 2, 0};
-static const uint16_t i_d9ee930ded74d2a9[] = {0, 1, 2};
+static const uint16_t m_d9ee930ded74d2a9[] = {1, 0};
+static const uint16_t i_d9ee930ded74d2a9[] = {0, 1};
 const ::capnp::_::RawSchema s_d9ee930ded74d2a9 = {
-  0xd9ee930ded74d2a9, b_d9ee930ded74d2a9.words, 67, d_d9ee930ded74d2a9, m_d9ee930ded74d2a9,
-  3, 3, i_d9ee930ded74d2a9, nullptr, nullptr, { &s_d9ee930ded74d2a9, nullptr, nullptr, 0, 0, nullptr }
+  0xd9ee930ded74d2a9, b_d9ee930ded74d2a9.words, 48, d_d9ee930ded74d2a9, m_d9ee930ded74d2a9,
+  2, 2, i_d9ee930ded74d2a9, nullptr, nullptr, { &s_d9ee930ded74d2a9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<53> b_b7fbe60abd0f600e = {
@@ -915,14 +822,6 @@
 constexpr ::capnp::_::RawSchema const* BatchLoad::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// TableMark
-constexpr uint16_t TableMark::_capnpPrivate::dataWordSize;
-constexpr uint16_t TableMark::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind TableMark::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* TableMark::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
 #if !CAPNP_LITE
 ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults>
 StageProtocol::Client::runRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -23,7 +23,6 @@
 CAPNP_DECLARE_SCHEMA(837ee0f8c929f2f5);
 CAPNP_DECLARE_SCHEMA(9c2323f9aa598f99);
 CAPNP_DECLARE_SCHEMA(dd5203c32501b4c6);
-CAPNP_DECLARE_SCHEMA(9b4592b12b491b6c);
 CAPNP_DECLARE_SCHEMA(dc31c4e0e7d4eb1f);
 CAPNP_DECLARE_SCHEMA(c246aa2f5fdcd6c0);
 CAPNP_DECLARE_SCHEMA(d9ee930ded74d2a9);
@@ -98,21 +97,6 @@
   };
 };
 
-struct TableMark {
-  TableMark() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b4592b12b491b6c, 3, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct StageProtocol {
   StageProtocol() = delete;
 
@@ -159,7 +143,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9ee930ded74d2a9, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d9ee930ded74d2a9, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -654,92 +638,6 @@
 };
 #endif  // !CAPNP_LITE
 
-class TableMark::Reader {
-public:
-  typedef TableMark Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint8_t getTable() const;
-
-  inline  ::uint64_t getEnd() const;
-
-  inline  ::int64_t getAgeUs() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class TableMark::Builder {
-public:
-  typedef TableMark Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint8_t getTable();
-  inline void setTable( ::uint8_t value);
-
-  inline  ::uint64_t getEnd();
-  inline void setEnd( ::uint64_t value);
-
-  inline  ::int64_t getAgeUs();
-  inline void setAgeUs( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class TableMark::Pipeline {
-public:
-  typedef TableMark Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 #if !CAPNP_LITE
 class StageProtocol::Client
     : public virtual ::capnp::Capability::Client {
@@ -910,9 +808,6 @@
   inline bool hasLoad() const;
   inline  ::mimosahub::wire::BatchLoad::Reader getLoad() const;
 
-  inline bool hasMarks() const;
-  inline  ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Reader getMarks() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -955,13 +850,6 @@
   inline void adoptLoad(::capnp::Orphan< ::mimosahub::wire::BatchLoad>&& value);
   inline ::capnp::Orphan< ::mimosahub::wire::BatchLoad> disownLoad();
 
-  inline bool hasMarks();
-  inline  ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Builder getMarks();
-  inline void setMarks( ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Builder initMarks(unsigned int size);
-  inline void adoptMarks(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>> disownMarks();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1755,48 +1643,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t TableMark::Reader::getTable() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t TableMark::Builder::getTable() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TableMark::Builder::setTable( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t TableMark::Reader::getEnd() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t TableMark::Builder::getEnd() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void TableMark::Builder::setEnd( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t TableMark::Reader::getAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t TableMark::Builder::getAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void TableMark::Builder::setAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
 #if !CAPNP_LITE
 inline StageProtocol::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1938,40 +1784,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StageProtocol::RunResults::Reader::hasMarks() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool StageProtocol::RunResults::Builder::hasMarks() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Reader StageProtocol::RunResults::Reader::getMarks() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Builder StageProtocol::RunResults::Builder::getMarks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StageProtocol::RunResults::Builder::setMarks( ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>::Builder StageProtocol::RunResults::Builder::initMarks(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void StageProtocol::RunResults::Builder::adoptMarks(
-    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>> StageProtocol::RunResults::Builder::disownMarks() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableMark,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline bool StageProtocol::ReleaseParams::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
