--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -74,22 +74,32 @@
     return kStartError;
 }
 
-/// Runs until SIGTERM or SIGINT; \a onHangUp is called for each SIGHUP.
-void waitForStop(const std::function<void()> &onHangUp)
+/// The process's signals, caught from the construction on: one that comes while the
+/// daemon starts is kept until it is waited for.
+class Signals
 {
-    boost::asio::io_context io(1);
-    boost::asio::signal_set signals(io, SIGINT, SIGTERM, SIGHUP);
-    std::function<void()> wait = [&] {
-        signals.async_wait([&](const boost::system::error_code &ec, int signal) {
+public:
+    /// Runs until SIGTERM or SIGINT; \a onHangUp is called for each SIGHUP.
+    void waitForStop(const std::function<void()> &onHangUp)
+    {
+        wait(onHangUp);
+        m_io.run();
+    }
+
+private:
+    void wait(const std::function<void()> &onHangUp)
+    {
+        m_signals.async_wait([this, &onHangUp](const boost::system::error_code &ec, int signal) {
             if (!ec && signal == SIGHUP) {
                 onHangUp();
-                wait();
+                wait(onHangUp);
             }
         });
-    };
-    wait();
-    io.run();
-}
+    }
+
+    boost::asio::io_context m_io{1};
+    boost::asio::signal_set m_signals{m_io, SIGINT, SIGTERM, SIGHUP};
+};
 
 /// Reads the settings again. What can change in a running process takes effect;
 /// settings with problems change nothing.
@@ -125,6 +135,7 @@
 
 int runGateway(const GatewaySettings &settings, const GatewayAdapter &adapter)
 {
+    Signals signals;
     SystemClock clock;
     const auto output = LogOutput::open(std::cout, settings.log.level, settings.log.format, clock);
     MetricRegistry metrics;
@@ -136,8 +147,8 @@
         return fail(traffic.status());
     }
     GatewayControl control(
-        clock, settings, adapter.documents, adapter.makeStore, metrics, views, [&] { (*traffic)->viewChanged(); },
-        seed + 1);
+        clock, settings, adapter.documents, adapter.makeStore, metrics, views,
+        [&] { (*traffic)->viewChanged(); }, seed + 1);
     std::atomic<bool> serving{true};
     SideServers sides(control.io(), metrics);
     if (const auto status = sides.listen(settings.listen, [&] { return serving && control.caughtUp(); });
@@ -150,7 +161,7 @@
         .with("instance", settings.instance.id)
         .with("zone", settings.instance.zone)
         .with("callers", settings.listen.callers.str());
-    waitForStop([&] { reload(adapter, settings, **traffic); });
+    signals.waitForStop([&] { reload(adapter, settings, **traffic); });
     logEvent(LogLevel::Info, "draining").with("open", (*traffic)->openRequests());
     serving = false;
     control.leave();
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -86,6 +86,15 @@
         far.close(ec);
     }
 
+    void reset()
+    {
+        error_code ec;
+        near.set_option(tcp::socket::linger(true, 0), ec);
+        far.set_option(tcp::socket::linger(true, 0), ec);
+        close();
+    }
+
+    bool silent = false; ///< For good.
     tcp::socket near;
     tcp::socket far;
     std::string inode; ///< Of the socket of the process that opened it.
@@ -122,6 +131,46 @@
     change([this, on] { m_allCut = on; });
 }
 
+void Relay::cutAnswers(bool on)
+{
+    change([this, on] { m_answersCut = on; });
+}
+
+void Relay::delay(std::chrono::milliseconds time)
+{
+    change([this, time] { m_delay = time; });
+}
+
+std::vector<std::shared_ptr<Relay::Link>> Relay::openLinks()
+{
+    std::vector<std::shared_ptr<Link>> open;
+    for (const auto &it : m_links) {
+        if (auto link = it.lock()) {
+            open.push_back(std::move(link));
+        }
+    }
+    m_links.assign(open.begin(), open.end());
+    return open;
+}
+
+void Relay::resetOpen()
+{
+    change([this] {
+        for (const auto &link : openLinks()) {
+            link->reset();
+        }
+    });
+}
+
+void Relay::silenceOpen()
+{
+    change([this] {
+        for (const auto &link : openLinks()) {
+            link->silent = true;
+        }
+    });
+}
+
 void Relay::cutFrom(int pid, bool on)
 {
     change([this, pid, on] {
@@ -137,7 +186,7 @@
 /// stays held back, so the opener is kept once it is found.
 bool Relay::isCut(Link &link) const
 {
-    if (m_target == 0 || m_allCut || m_cutPids.contains(link.opener)) {
+    if (m_target == 0 || m_allCut || link.silent || m_cutPids.contains(link.opener)) {
         return true;
     }
     const auto it = std::find_if(m_cutPids.begin(), m_cutPids.end(), [&](int pid) { return holds(pid, link.inode); });
@@ -157,6 +206,8 @@
         const auto peer = link->near.remote_endpoint(ec);
         if (!ec) {
             link->inode = inodeOf(peer.port(), m_port).value_or("");
+            static_cast<void>(openLinks());
+            m_links.push_back(link);
             open(link);
         }
         accept();
@@ -184,34 +235,42 @@
 void Relay::pump(const std::shared_ptr<Link> &link, bool forward)
 {
     auto &from = forward ? link->near : link->far;
-    auto &to = forward ? link->far : link->near;
     const auto side = forward ? 0U : 1U;
-    from.async_wait(tcp::socket::wait_read, [this, link, forward, side, &from, &to](error_code ec) {
+    from.async_wait(tcp::socket::wait_read, [this, link, forward, side, &from](error_code ec) {
         if (ec) {
             link->close();
             return;
         }
-        if (isCut(*link)) {
+        if (isCut(*link) || (m_answersCut && !forward)) {
             link->timers[side].expires_after(kHeldBackPoll);
             link->timers[side].async_wait([this, link, forward](error_code) { pump(link, forward); });
             return;
         }
         from.async_read_some(boost::asio::buffer(link->buffers.at(side)),
-                             [this, link, forward, side, &to](error_code readError, std::size_t n) {
+                             [this, link, forward, side](error_code readError, std::size_t n) {
                                  if (readError) {
                                      link->close();
                                      return;
                                  }
-                                 boost::asio::async_write(to, boost::asio::buffer(link->buffers.at(side), n),
-                                                          [this, link, forward](error_code writeError, std::size_t) {
-                                                              if (writeError) {
-                                                                  link->close();
-                                                              } else {
-                                                                  pump(link, forward);
-                                                              }
-                                                          });
+                                 link->timers[side].expires_after(m_delay);
+                                 link->timers[side].async_wait(
+                                     [this, link, forward, n](error_code) { pass(link, forward, n); });
                              });
     });
 }
 
+/// Writes what pump() has read.
+void Relay::pass(const std::shared_ptr<Link> &link, bool forward, std::size_t bytes)
+{
+    auto &to = forward ? link->far : link->near;
+    boost::asio::async_write(to, boost::asio::buffer(link->buffers.at(forward ? 0U : 1U), bytes),
+                             [this, link, forward](error_code ec, std::size_t) {
+                                 if (ec) {
+                                     link->close();
+                                 } else {
+                                     pump(link, forward);
+                                 }
+                             });
+}
+
 } // namespace mimosahub::testing
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -3,11 +3,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
 #include <thread>
+#include <vector>
 
 namespace mimosahub::testing
 {
@@ -31,6 +33,14 @@
     void setTarget(std::uint16_t port);
     /// Cuts all connections, or ends that cut.
     void cutAll(bool on);
+    /// Holds back only what the target answers, or ends that.
+    void cutAnswers(bool on);
+    /// Delays each piece of data by \a time.
+    void delay(std::chrono::milliseconds time);
+    /// Resets all connections that are open.
+    void resetOpen();
+    /// All connections that are open fall silent for good; new ones work.
+    void silenceOpen();
     /// Cuts the connections that the process \a pid opened or opens, or ends that cut.
     void cutFrom(int pid, bool on);
 
@@ -40,7 +50,9 @@
     void accept();
     void open(const std::shared_ptr<Link> &link);
     void pump(const std::shared_ptr<Link> &link, bool forward);
+    void pass(const std::shared_ptr<Link> &link, bool forward, std::size_t bytes);
     [[nodiscard]] bool isCut(Link &link) const;
+    [[nodiscard]] std::vector<std::shared_ptr<Link>> openLinks();
     void change(std::function<void()> work);
 
     boost::asio::io_context m_io{1};
@@ -48,6 +60,9 @@
     std::uint16_t m_port = 0;
     std::uint16_t m_target = 0;
     bool m_allCut = false;
+    bool m_answersCut = false;
+    std::chrono::milliseconds m_delay{0};
+    std::vector<std::weak_ptr<Link>> m_links;
     std::set<int> m_cutPids;
     std::thread m_thread;
 };
