--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -39,8 +39,16 @@
   callUs @4 :Int64;
 }
 
+struct TableRecord {
+  key @0 :Data;
+  value @1 :Data;
+  gone @2 :Bool;
+  offset @3 :UInt64;
+}
+
 interface StageProtocol {
   run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (loads :List(BatchLoad));
+  readTable @3 (table :UInt8, from :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord));
 }
--- a/src/follow/keyed_follower.cc
+++ b/src/follow/keyed_follower.cc
@@ -61,7 +61,7 @@
         }
         if (ok) {
             m_failures = 0;
-            co_await sleep(m_random.jitter(m_options.pause, 0.1));
+            co_await sleep(m_random.jitter(m_pause, 0.1));
         } else {
             co_await sleep(m_failures > 0 ? backoffDelay(m_options.backoff, m_failures, m_random) : kGapPause);
         }
@@ -90,6 +90,7 @@
     }
     m_table.endPages(changes);
     m_complete = true;
+    m_pause = m_options.pause;
     if (!m_stopped) {
         m_listener.storeReached(m_options.table);
         m_listener.tableChanged(m_options.table, std::move(changes), true);
@@ -120,6 +121,7 @@
         m_table.skipTo(run->next);
         co_return false;
     }
+    m_pause = run->readOnAfter.value_or(m_options.pause);
     m_listener.storeReached(m_options.table);
     std::vector<KeyedChange> changes;
     m_table.takeRun(*run, changes);
--- a/src/follow/keyed_follower.h
+++ b/src/follow/keyed_follower.h
@@ -80,6 +80,7 @@
     boost::asio::steady_timer m_timer;
     WakeTimer m_readAgain; ///< Sleeps beside a read; waking it ends the read.
     int m_failures = 0; ///< In a row.
+    Duration m_pause{}; ///< Before the next read.
     bool m_complete = false; ///< The table was read whole and no gap has opened since.
     bool m_stopped = false;
 };
--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -51,6 +51,7 @@
     std::vector<KeyedRecord> records;
     StoreOffset next; ///< Where to read on.
     bool dropped = false; ///< Records from the read's position up to \a next are no longer kept; none is here.
+    std::optional<Duration> readOnAfter = std::nullopt; ///< How soon to read on, if not as usual.
 };
 
 /// Answer of a read. Errors: ResourceExhausted above the store's rate, Unavailable,
--- /dev/null
+++ b/src/follow/table_relay.cc
@@ -0,0 +1,49 @@
+// Reads of the store follow one another, so that what they cover grows at its end;
+// after a jump it begins anew.
+
+#include "follow/table_relay.h"
+
+#include <algorithm>
+
+namespace mimosahub
+{
+
+void TableRelay::add(StoreOffset from, const KeyedRun &run, TimePoint sentAt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_provenAt || from != m_end) {
+        m_records.clear();
+        m_begin = from;
+    }
+    m_records.insert(m_records.end(), run.records.begin(), run.records.end());
+    m_end = run.next;
+    m_provenAt = sentAt;
+    while (m_records.size() > m_options.maxRecords) {
+        m_begin = m_records.front().offset.next();
+        m_records.pop_front();
+    }
+}
+
+std::optional<TableAnswer> TableRelay::answer(StoreOffset from, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_askedAt = now;
+    if (!m_provenAt || from < m_begin || from > m_end) {
+        return std::nullopt;
+    }
+    TableAnswer answer;
+    const auto first =
+        std::find_if(m_records.begin(), m_records.end(), [&](const auto &record) { return record.offset >= from; });
+    answer.run.records.assign(first, m_records.end());
+    answer.run.next = m_end;
+    answer.age = std::max(Duration::zero(), Duration(now - *m_provenAt));
+    return answer;
+}
+
+bool TableRelay::isAsked(TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_askedAt && now - *m_askedAt < m_options.askedFor;
+}
+
+} // namespace mimosahub
--- /dev/null
+++ b/src/follow/table_relay_test.cc
@@ -0,0 +1,106 @@
+#include "follow/keyed_table.h"
+#include "follow/table_relay.h"
+
+#include <rapidcheck.h>
+
+#include <criterion/criterion.h>
+
+using namespace mimosahub;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const TimePoint kStart(1h);
+
+KeyedRun runOf(std::vector<KeyedRecord> records, std::uint64_t next)
+{
+    return {std::move(records), StoreOffset(next), false, std::nullopt};
+}
+
+KeyedRecord record(const std::string &key, std::uint64_t offset)
+{
+    return {key, "v" + std::to_string(offset), StoreOffset(offset)};
+}
+
+} // namespace
+
+Test(table_relay, tells_what_follows_a_position_that_it_covers)
+{
+    TableRelay relay;
+    cr_assert(!relay.answer(StoreOffset(0), kStart));
+    relay.add(StoreOffset(5), runOf({record("a", 5)}, 8), kStart);
+    relay.add(StoreOffset(8), runOf({record("b", 9)}, 10), kStart + 1s);
+    cr_assert(!relay.answer(StoreOffset(4), kStart + 1s)); // It doesn't know what came before.
+    cr_assert(!relay.answer(StoreOffset(11), kStart + 1s)); // The asker knows more.
+    const auto answer = relay.answer(StoreOffset(6), kStart + 1200ms);
+    cr_assert(answer && answer->run.records == std::vector<KeyedRecord>{record("b", 9)});
+    cr_assert(answer->run.next == StoreOffset(10) && answer->age == 200ms);
+}
+
+Test(table_relay, begins_anew_after_a_jump)
+{
+    TableRelay relay;
+    relay.add(StoreOffset(5), runOf({record("a", 5)}, 8), kStart);
+    relay.add(StoreOffset(20), runOf({record("c", 20)}, 21), kStart);
+    cr_assert(!relay.answer(StoreOffset(5), kStart));
+    cr_assert(relay.answer(StoreOffset(20), kStart)->run.records.size() == 1);
+}
+
+Test(table_relay, gives_up_old_records_beyond_its_limit)
+{
+    TableRelay relay({3s, 2});
+    relay.add(StoreOffset(0), runOf({record("a", 0), record("b", 1), record("c", 2)}, 3), kStart);
+    cr_assert(!relay.answer(StoreOffset(0), kStart));
+    cr_assert(relay.answer(StoreOffset(1), kStart)->run.records.size() == 2);
+}
+
+Test(table_relay, knows_whether_others_ask)
+{
+    TableRelay relay;
+    cr_assert(!relay.isAsked(kStart));
+    static_cast<void>(relay.answer(StoreOffset(0), kStart));
+    cr_assert(relay.isAsked(kStart + 2s));
+    cr_assert(!relay.isAsked(kStart + 3s));
+}
+
+// A daemon that reads by turns from the store and from a relay ends with the newest
+// record of each key.
+Test(table_relay, a_reader_misses_nothing_whichever_way_it_reads)
+{
+    cr_assert(rc::check([] {
+        std::vector<KeyedRecord> log;
+        TableRelay relay({3s, 8});
+        StoreOffset relayNext;
+        KeyedTable reader;
+        std::map<std::string, StoreOffset> known;
+        const auto runFrom = [&](StoreOffset from) {
+            KeyedRun run;
+            run.records.assign(log.begin() + static_cast<std::ptrdiff_t>(from.value()), log.end());
+            run.next = StoreOffset(log.size());
+            return run;
+        };
+        for (int step = 0; step < 60; ++step) {
+            const auto event = *rc::gen::inRange(0, 4);
+            if (event == 0) {
+                log.push_back(record(std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))), log.size()));
+            } else if (event == 1) {
+                const auto run = runFrom(relayNext);
+                relay.add(relayNext, run, kStart);
+                relayNext = run.next;
+            } else {
+                const auto answer = event == 2 ? relay.answer(reader.next(), kStart) : std::nullopt;
+                std::vector<KeyedChange> changes;
+                reader.takeRun(answer ? answer->run : runFrom(reader.next()), changes);
+                for (const auto &change : changes) {
+                    known[change.key] = StoreOffset(std::stoull(change.value->substr(1)));
+                }
+                std::map<std::string, StoreOffset> expected;
+                for (std::size_t i = 0; i < reader.next().value(); ++i) {
+                    expected[log[i].key] = log[i].offset;
+                }
+                RC_ASSERT(known == expected);
+            }
+        }
+    }));
+}
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -53,6 +53,14 @@
     return {settings.instance.id, settings.instance.zone, settings.listen.peers, started, settings.capacity};
 }
 
+RelayedStoreOptions relayOptions(const StoreSettings &settings)
+{
+    RelayedStoreOptions options;
+    options.longestAge = settings.leavingBound * 3 / 10;
+    options.interval = settings.leavingBound / 4;
+    return options;
+}
+
 KeyedFollowerOptions endpointOptions(const StoreSettings &settings)
 {
     KeyedFollowerOptions options;
@@ -65,8 +73,9 @@
 } // namespace
 
 GatewayControl::GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
-                               const MakeStore &makeStore, MetricRegistry &metrics, GatewayViews &views,
-                               std::function<void()> onView, std::uint64_t seed)
+                               const MakeStore &makeStore, TableAsker &asker, TableRelay &endpointTable,
+                               MetricRegistry &metrics, GatewayViews &views, std::function<void()> onView,
+                               std::uint64_t seed)
     : m_clock(clock),
       m_documents(documents),
       m_views(views),
@@ -74,7 +83,8 @@
       m_work(boost::asio::make_work_guard(m_io)),
       m_random(seed),
       m_pool(m_io, clock, storePoolOptions()),
-      m_store(makeStore(m_pool, settings.store.address)),
+      m_store(std::make_unique<RelayedStore>(m_io, clock, makeStore(m_pool, settings.store.address), documents, asker,
+                                             endpointTable, relayOptions(settings.store))),
       m_operators(m_io, *m_store, *this, m_random, documentOptions()),
       m_endpoints(m_io, *m_store, *this, m_random, endpointOptions(settings.store)),
       m_daemons(m_io, *m_store, *this, m_random, daemonOptions()),
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -6,6 +6,7 @@
 #include "gateway/document_reader.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
+#include "gateway/relayed_store.h"
 #include "http/client.h"
 
 #include <atomic>
@@ -27,8 +28,8 @@
 
     /// All arguments must outlive this object. \a onView is called after each new view.
     GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
-                   const MakeStore &makeStore, MetricRegistry &metrics, GatewayViews &views,
-                   std::function<void()> onView, std::uint64_t seed);
+                   const MakeStore &makeStore, TableAsker &asker, TableRelay &endpointTable, MetricRegistry &metrics,
+                   GatewayViews &views, std::function<void()> onView, std::uint64_t seed);
     ~GatewayControl() override;
 
     void start();
@@ -70,7 +71,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     Random m_random;
     http::ConnectionPool m_pool;
-    std::unique_ptr<KeyedStore> m_store;
+    std::unique_ptr<RelayedStore> m_store;
     KeyedFollower m_operators;
     KeyedFollower m_endpoints;
     KeyedFollower m_daemons;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -142,12 +142,13 @@
     GatewayViews views(std::make_shared<GatewayView>());
     const auto seed =
         hashBytes(settings.instance.id.str(), static_cast<std::uint64_t>(clock.wallTime().time_since_epoch().count()));
-    auto traffic = GatewayTraffic::create({clock, settings, views, adapter.calls, metrics}, seed);
+    TableRelay endpointTable;
+    auto traffic = GatewayTraffic::create({clock, settings, views, adapter.calls, endpointTable, metrics}, seed);
     if (!traffic.ok()) {
         return fail(traffic.status());
     }
     GatewayControl control(
-        clock, settings, adapter.documents, adapter.makeStore, metrics, views,
+        clock, settings, adapter.documents, adapter.makeStore, **traffic, endpointTable, metrics, views,
         [&] { (*traffic)->viewChanged(); }, seed + 1);
     std::atomic<bool> serving{true};
     SideServers sides(control.io(), metrics);
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -42,7 +42,8 @@
 {
     std::unique_ptr<GatewayTraffic> traffic(new GatewayTraffic(shared, seed));
     auto *self = traffic.get();
-    auto router = StageRouter::create(*self->m_io, shared.clock, shared.settings, self->m_stages, shared.metrics);
+    auto router = StageRouter::create(*self->m_io, shared.clock, shared.settings, self->m_stages, shared.endpointTable,
+                                      shared.metrics);
     if (!router.ok()) {
         return router.status();
     }
@@ -102,6 +103,11 @@
     }
 }
 
+void GatewayTraffic::ask(StoreTable table, StoreOffset from, Told told)
+{
+    boost::asio::post(*m_io, [this, table, from, told = std::move(told)] { m_router->askTable(table, from, told); });
+}
+
 void GatewayTraffic::viewChanged()
 {
     boost::asio::post(*m_io, [this] { takeView(); });
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -19,19 +19,21 @@
     const GatewaySettings &settings;
     const GatewayViews &views;
     const CallProtocol &protocol;
+    TableRelay &endpointTable; ///< For daemons that ask this one.
     MetricRegistry &metrics;
 };
 
 /// The thread that owns callers' connections, their requests and the calls of
 /// stages.
-class GatewayTraffic
+class GatewayTraffic : public TableAsker
 {
 public:
     /// Opens the callers' listening socket.
     static absl::StatusOr<std::unique_ptr<GatewayTraffic>> create(const GatewayShared &shared, std::uint64_t seed);
-    ~GatewayTraffic();
+    ~GatewayTraffic() override;
 
     void start();
+    void ask(StoreTable table, StoreOffset from, Told told) override;
     /// The view has changed. Any thread.
     void viewChanged();
     /// The shared budget of second sends has changed. Any thread.
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -95,9 +95,9 @@
 
 absl::StatusOr<std::unique_ptr<StageRouter>> StageRouter::create(boost::asio::io_context &io, const Clock &clock,
                                                                  const GatewaySettings &settings, StageRunner &runner,
-                                                                 MetricRegistry &metrics)
+                                                                 TableRelay &endpointTable, MetricRegistry &metrics)
 {
-    std::unique_ptr<StageRouter> router(new StageRouter(io, clock, settings, runner, metrics));
+    std::unique_ptr<StageRouter> router(new StageRouter(io, clock, settings, runner, endpointTable, metrics));
     auto service = StageService::create(
         rpcOptions(settings), [&io](std::function<void()> work) { boost::asio::post(io, std::move(work)); }, clock,
         *router);
@@ -109,10 +109,12 @@
 }
 
 StageRouter::StageRouter(boost::asio::io_context &io, const Clock &clock, const GatewaySettings &settings,
-                         StageRunner &runner, MetricRegistry &metrics)
+                         StageRunner &runner, TableRelay &endpointTable, MetricRegistry &metrics)
     : m_clock(clock),
       m_self(settings.instance.id),
+      m_relayKey("tables of " + settings.instance.zone.str()),
       m_runner(runner),
+      m_endpointTable(endpointTable),
       m_daemons(settings.instance.id, {}),
       m_watchTimer(io),
       m_remote(metrics.counter("mimosahub_stage_orders_remote_total", "Orders handed to other daemons.")),
@@ -310,6 +312,28 @@
     }
 }
 
+void StageRouter::askTable(StoreTable table, StoreOffset from, TableAsker::Told told)
+{
+    const auto relay = m_daemons.ownerOf(m_relayKey);
+    const auto address = m_daemons.addressOf(relay);
+    if (relay == m_self || !address) {
+        told(std::nullopt);
+        return;
+    }
+    m_service->readTable(*address, table, from, [this, relay, told](const auto &answer) {
+        if (!answer.ok()) {
+            m_daemons.failed(relay, m_clock.now());
+            logEvent(LogLevel::Warning, "relay-failed").with("daemon", relay).with(answer.status());
+        }
+        told(answer.ok() ? *answer : std::nullopt);
+    });
+}
+
+std::optional<TableAnswer> StageRouter::readTable(StoreTable table, StoreOffset from)
+{
+    return table == StoreTable::Endpoints ? m_endpointTable.answer(from, m_clock.now()) : std::nullopt;
+}
+
 void StageRouter::release(const ServiceId &service, const std::vector<ResultHandle> &handles)
 {
     m_runner.release(service, handles);
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "follow/table_relay.h"
 #include "forward/daemon_book.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/stage_runner.h"
@@ -24,24 +25,27 @@
     /// Opens the port for other daemons. All arguments must outlive the router.
     static absl::StatusOr<std::unique_ptr<StageRouter>> create(boost::asio::io_context &io, const Clock &clock,
                                                                const GatewaySettings &settings, StageRunner &runner,
-                                                               MetricRegistry &metrics);
+                                                               TableRelay &endpointTable, MetricRegistry &metrics);
     ~StageRouter() override;
 
     void setDaemons(const std::vector<DaemonEntry> &daemons);
 
     [[nodiscard]] std::unique_ptr<StageTicket> submit(const ServiceId &service, PieceOrder order, Done done) override;
     [[nodiscard]] BatchLoad load(const ServiceId &service) override;
+    /// As TableAsker::ask(); on the traffic thread.
+    void askTable(StoreTable table, StoreOffset from, TableAsker::Told told);
 
 private:
     class Ticket;
     class LocalOrder;
 
     StageRouter(boost::asio::io_context &io, const Clock &clock, const GatewaySettings &settings, StageRunner &runner,
-                MetricRegistry &metrics);
+                TableRelay &endpointTable, MetricRegistry &metrics);
 
     std::unique_ptr<PeerOrder> begin(const ServiceId &service, const PieceOrder &order, OrderDone done) override;
     void release(const ServiceId &service, const std::vector<ResultHandle> &handles) override;
     std::vector<ServiceLoad> loads() override;
+    std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) override;
     void releaseRemote(const InstanceId &daemon, const Address &address, const ServiceId &service,
                        std::vector<ResultHandle> handles);
 
@@ -56,7 +60,9 @@
 
     const Clock &m_clock;
     InstanceId m_self;
+    std::string m_relayKey; ///< The daemon that it hashes to reads the store's tables for this one.
     StageRunner &m_runner;
+    TableRelay &m_endpointTable;
     DaemonBook m_daemons;
     std::map<ServiceId, BatchLoad> m_loads; ///< As other daemons said.
     std::set<ServiceId> m_planned; ///< Services for which this daemon plans.
--- a/src/peer/stage_codec.cc
+++ b/src/peer/stage_codec.cc
@@ -115,4 +115,54 @@
     return load;
 }
 
+void writeRecord(const KeyedRecord &record, wire::TableRecord::Builder out)
+{
+    const auto bytes = [](const std::string &text) {
+        return capnp::Data::Reader(reinterpret_cast<const kj::byte *>(text.data()), text.size());
+    };
+    out.setKey(bytes(record.key));
+    out.setGone(!record.value);
+    if (record.value) {
+        out.setValue(bytes(*record.value));
+    }
+    out.setOffset(record.offset.value());
+}
+
+KeyedRecord readRecord(wire::TableRecord::Reader in)
+{
+    const auto text = [](capnp::Data::Reader data) { return std::string(data.asChars().begin(), data.size()); };
+    KeyedRecord record;
+    record.key = text(in.getKey());
+    if (!in.getGone()) {
+        record.value = text(in.getValue());
+    }
+    record.offset = StoreOffset(in.getOffset());
+    return record;
+}
+
+void writeAnswer(const TableAnswer &answer, wire::StageProtocol::ReadTableResults::Builder out)
+{
+    out.setKnown(true);
+    out.setAgeUs(toMicroseconds(answer.age));
+    out.setNext(answer.run.next.value());
+    auto records = out.initRecords(static_cast<unsigned>(answer.run.records.size()));
+    for (unsigned i = 0; i < answer.run.records.size(); ++i) {
+        writeRecord(answer.run.records[i], records[i]);
+    }
+}
+
+std::optional<TableAnswer> readAnswer(wire::StageProtocol::ReadTableResults::Reader in)
+{
+    if (!in.getKnown()) {
+        return std::nullopt;
+    }
+    TableAnswer answer;
+    answer.age = std::max(Duration::zero(), fromMicroseconds(in.getAgeUs()));
+    answer.run.next = StoreOffset(in.getNext());
+    for (const auto record : in.getRecords()) {
+        answer.run.records.push_back(readRecord(record));
+    }
+    return answer;
+}
+
 } // namespace mimosahub
--- a/src/peer/stage_codec.h
+++ b/src/peer/stage_codec.h
@@ -18,4 +18,9 @@
 void writeLoad(const ServiceLoad &load, wire::BatchLoad::Builder out);
 [[nodiscard]] ServiceLoad readLoad(wire::BatchLoad::Reader in);
 
+void writeRecord(const KeyedRecord &record, wire::TableRecord::Builder out);
+[[nodiscard]] KeyedRecord readRecord(wire::TableRecord::Reader in);
+void writeAnswer(const TableAnswer &answer, wire::StageProtocol::ReadTableResults::Builder out);
+[[nodiscard]] std::optional<TableAnswer> readAnswer(wire::StageProtocol::ReadTableResults::Reader in);
+
 } // namespace mimosahub
--- a/src/peer/stage_service.cc
+++ b/src/peer/stage_service.cc
@@ -81,6 +81,20 @@
             });
     }
 
+    kj::Promise<void> readTable(ReadTableContext context) override
+    {
+        const auto params = context.getParams();
+        const auto table = static_cast<StoreTable>(params.getTable());
+        const StoreOffset from(params.getFrom());
+        return runElsewhere<std::optional<TableAnswer>>(
+                   m_executor, m_running, [this, table, from]() { return m_handler.readTable(table, from); })
+            .then([context](const std::optional<TableAnswer> &answer) mutable {
+                if (answer) {
+                    writeAnswer(*answer, context.getResults());
+                }
+            });
+    }
+
 private:
     RpcExecutor m_executor;
     std::shared_ptr<bool> m_running; ///< Executor's thread only.
@@ -160,6 +174,18 @@
         m_thread.call<std::vector<ServiceLoad>>(peer, send, std::move(done));
     }
 
+    void readTable(const Address &peer, StoreTable table, StoreOffset from,
+                   RpcCallback<std::optional<TableAnswer>> done) override
+    {
+        const auto send = [table, from](wire::StageProtocol::Client &protocol) {
+            auto call = protocol.readTableRequest();
+            call.setTable(static_cast<std::uint8_t>(table));
+            call.setFrom(from.value());
+            return call.send().then([](auto response) { return readAnswer(response); });
+        };
+        m_thread.call<std::optional<TableAnswer>>(peer, send, std::move(done));
+    }
+
     [[nodiscard]] Address address() const override
     {
         return m_thread.address();
--- a/src/peer/stage_service.h
+++ b/src/peer/stage_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "follow/table_relay.h"
 #include "forward/batch_planner.h"
 #include "peer/rpc_network.h"
 
@@ -48,6 +49,8 @@
     virtual void release(const ServiceId &service, const std::vector<ResultHandle> &handles) = 0;
     /// The load of each service for which this daemon plans.
     virtual std::vector<ServiceLoad> loads() = 0;
+    /// What follows \a from in \a table, if this daemon knows.
+    virtual std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) = 0;
 };
 
 /// Server and clients of the protocol.
@@ -74,6 +77,9 @@
                                                     RpcCallback<RemoteResult> done) = 0;
     virtual void release(const Address &peer, const ServiceId &service, std::vector<ResultHandle> handles) = 0;
     virtual void ping(const Address &peer, RpcCallback<std::vector<ServiceLoad>> done) = 0;
+    /// Asks \a peer for what follows \a from in \a table; absent if it doesn't know.
+    virtual void readTable(const Address &peer, StoreTable table, StoreOffset from,
+                           RpcCallback<std::optional<TableAnswer>> done) = 0;
     /// Where it listens, with the port that the system chose.
     [[nodiscard]] virtual Address address() const = 0;
     /// Closes all connections and ends the thread.
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -106,6 +106,17 @@
     {
         return {{ServiceId("s"), {4, 3, 10ms, 100ms}}};
     }
+    std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) override
+    {
+        if (table != StoreTable::Endpoints) {
+            return std::nullopt;
+        }
+        return TableAnswer{{{{"k", std::string("v\0w", 3), from}, {"gone", std::nullopt, from.next()}},
+                            from.next().next(),
+                            false,
+                            std::nullopt},
+                           300ms};
+    }
 
     std::unique_ptr<StageService> service;
     std::vector<ServiceId> services;
@@ -211,6 +222,26 @@
     cr_assert_eq(got[0].load.endpoints, 3);
 }
 
+Test(stage_service, a_table_is_read_from_a_peer)
+{
+    Node caller;
+    Node peer;
+    std::promise<std::optional<TableAnswer>> known;
+    std::promise<std::optional<TableAnswer>> unknown;
+    caller.onThread([&] {
+        const auto &address = peer.service->address();
+        caller.service->readTable(address, StoreTable::Endpoints, StoreOffset(7),
+                                  [&](const auto &it) { known.set_value(*it); });
+        caller.service->readTable(address, StoreTable::Status, StoreOffset(7),
+                                  [&](const auto &it) { unknown.set_value(*it); });
+    });
+    const auto got = known.get_future().get();
+    const auto expected = peer.readTable(StoreTable::Endpoints, StoreOffset(7));
+    cr_assert(got && got->run.records == expected->run.records);
+    cr_assert(got->run.next == StoreOffset(9) && got->age == 300ms);
+    cr_assert(!unknown.get_future().get());
+}
+
 Test(stage_service, an_unreachable_peer_fails_the_call)
 {
     Node caller;
--- a/src/wire/stage.capnp.cc
+++ b/src/wire/stage.capnp.cc
@@ -437,7 +437,95 @@
   0, 5, i_dd5203c32501b4c6, nullptr, nullptr, { &s_dd5203c32501b4c6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<49> b_dc31c4e0e7d4eb1f = {
+static const ::capnp::_::AlignedData<77> b_c734c246e6ee85f6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    246, 133, 238, 230,  70, 194,  52, 199,
+     12,   0,   0,   0,   1,   0,   2,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  84,  97,  98, 108,
+    101,  82, 101,  99, 111, 114, 100,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+    107, 101, 121,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    118,  97, 108, 117, 101,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 111, 110, 101,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    111, 102, 102, 115, 101, 116,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c734c246e6ee85f6 = b_c734c246e6ee85f6.words;
+#if !CAPNP_LITE
+static const uint16_t m_c734c246e6ee85f6[] = {2, 0, 3, 1};
+static const uint16_t i_c734c246e6ee85f6[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_c734c246e6ee85f6 = {
+  0xc734c246e6ee85f6, b_c734c246e6ee85f6.words, 77, nullptr, m_c734c246e6ee85f6,
+  0, 4, i_c734c246e6ee85f6, nullptr, nullptr, { &s_c734c246e6ee85f6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<60> b_dc31c4e0e7d4eb1f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      31, 235, 212, 231, 224, 196,  49, 220,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -447,45 +535,56 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 199,   0,   0,   0,
-    149,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,   7,   1,   0,   0,
+    193,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116,  97, 103, 101,  46,  99,  97,
     112, 110, 112,  58,  83, 116,  97, 103,
     101,  80, 114, 111, 116, 111,  99, 111,
     108,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   5,   0,
+     16,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     192, 214, 220,  95,  47, 170,  70, 194,
     169, 210, 116, 237,  13, 147, 238, 217,
-     81,   0,   0,   0,  34,   0,   0,   0,
+    113,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      14,  96,  15, 189,  10, 230, 251, 183,
      71,  59,  94, 155, 142, 255,  97, 248,
-     57,   0,   0,   0,  66,   0,   0,   0,
+     89,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,   7,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     178,   1,  74, 227, 193, 237,  99, 173,
      22, 102, 180, 126, 119,   1, 225, 128,
-     33,   0,   0,   0,  42,   0,   0,   0,
+     65,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,   7,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+    222, 104,  84, 153, 127,  25, 232, 235,
+    134, 212, 151,  45,  27, 212, 223, 174,
+     41,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
     114, 117, 110,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 108, 101,  97, 115, 101,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 105, 110, 103,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101,  97, 100,  84,  97,  98, 108,
+    101,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_dc31c4e0e7d4eb1f = b_dc31c4e0e7d4eb1f.words;
@@ -493,15 +592,17 @@
 static const ::capnp::_::RawSchema* const d_dc31c4e0e7d4eb1f[] = {
   &s_80e101777eb46616,
   &s_ad63edc1e34a01b2,
+  &s_aedfd41b2d97d486,
   &s_b7fbe60abd0f600e,
   &s_c246aa2f5fdcd6c0,
   &s_d9ee930ded74d2a9,
+  &s_ebe8197f995468de,
   &s_f861ff8e9b5e3b47,
 };
-static const uint16_t m_dc31c4e0e7d4eb1f[] = {2, 1, 0};
+static const uint16_t m_dc31c4e0e7d4eb1f[] = {2, 3, 1, 0};
 const ::capnp::_::RawSchema s_dc31c4e0e7d4eb1f = {
-  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 49, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
-  6, 3, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
+  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 60, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
+  8, 4, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_c246aa2f5fdcd6c0 = {
@@ -782,6 +883,163 @@
   1, 1, i_80e101777eb46616, nullptr, nullptr, { &s_80e101777eb46616, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_ebe8197f995468de = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    222, 104,  84, 153, 127,  25, 232, 235,
+     26,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  90,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 114, 101,  97, 100,  84,  97,
+     98, 108, 101,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    116,  97,  98, 108, 101,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 114, 111, 109,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ebe8197f995468de = b_ebe8197f995468de.words;
+#if !CAPNP_LITE
+static const uint16_t m_ebe8197f995468de[] = {1, 0};
+static const uint16_t i_ebe8197f995468de[] = {0, 1};
+const ::capnp::_::RawSchema s_ebe8197f995468de = {
+  0xebe8197f995468de, b_ebe8197f995468de.words, 49, nullptr, m_ebe8197f995468de,
+  0, 2, i_ebe8197f995468de, nullptr, nullptr, { &s_ebe8197f995468de, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<83> b_aedfd41b2d97d486 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    134, 212, 151,  45,  27, 212, 223, 174,
+     26,   0,   0,   0,   1,   0,   3,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  98,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 114, 101,  97, 100,  84,  97,
+     98, 108, 101,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+    107, 110, 111, 119, 110,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101,  85, 115,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 101, 120, 116,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    246, 133, 238, 230,  70, 194,  52, 199,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_aedfd41b2d97d486 = b_aedfd41b2d97d486.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_aedfd41b2d97d486[] = {
+  &s_c734c246e6ee85f6,
+};
+static const uint16_t m_aedfd41b2d97d486[] = {1, 0, 2, 3};
+static const uint16_t i_aedfd41b2d97d486[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_aedfd41b2d97d486 = {
+  0xaedfd41b2d97d486, b_aedfd41b2d97d486.words, 83, d_aedfd41b2d97d486, m_aedfd41b2d97d486,
+  1, 4, i_aedfd41b2d97d486, nullptr, nullptr, { &s_aedfd41b2d97d486, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -822,6 +1080,14 @@
 constexpr ::capnp::_::RawSchema const* BatchLoad::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// TableRecord
+constexpr uint16_t TableRecord::_capnpPrivate::dataWordSize;
+constexpr uint16_t TableRecord::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind TableRecord::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* TableRecord::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults>
 StageProtocol::Client::runRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -853,6 +1119,16 @@
       "stage.capnp:StageProtocol", "ping",
       0xdc31c4e0e7d4eb1full, 2);
 }
+::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults>
+StageProtocol::Client::readTableRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults>(
+      0xdc31c4e0e7d4eb1full, 3, sizeHint);
+}
+::kj::Promise<void> StageProtocol::Server::readTable(ReadTableContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "stage.capnp:StageProtocol", "readTable",
+      0xdc31c4e0e7d4eb1full, 3);
+}
 ::capnp::Capability::Server::DispatchCallResult StageProtocol::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -885,6 +1161,12 @@
              ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults>(context)),
         false
       };
+    case 3:
+      return {
+        readTable(::capnp::Capability::Server::internalGetTypedContext<
+             ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -948,6 +1230,22 @@
 constexpr ::capnp::_::RawSchema const* StageProtocol::PingResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// StageProtocol::ReadTableParams
+constexpr uint16_t StageProtocol::ReadTableParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::ReadTableParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::ReadTableParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::ReadTableParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StageProtocol::ReadTableResults
+constexpr uint16_t StageProtocol::ReadTableResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::ReadTableResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::ReadTableResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::ReadTableResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(837ee0f8c929f2f5);
 CAPNP_DECLARE_SCHEMA(9c2323f9aa598f99);
 CAPNP_DECLARE_SCHEMA(dd5203c32501b4c6);
+CAPNP_DECLARE_SCHEMA(c734c246e6ee85f6);
 CAPNP_DECLARE_SCHEMA(dc31c4e0e7d4eb1f);
 CAPNP_DECLARE_SCHEMA(c246aa2f5fdcd6c0);
 CAPNP_DECLARE_SCHEMA(d9ee930ded74d2a9);
@@ -30,6 +31,8 @@
 CAPNP_DECLARE_SCHEMA(f861ff8e9b5e3b47);
 CAPNP_DECLARE_SCHEMA(ad63edc1e34a01b2);
 CAPNP_DECLARE_SCHEMA(80e101777eb46616);
+CAPNP_DECLARE_SCHEMA(ebe8197f995468de);
+CAPNP_DECLARE_SCHEMA(aedfd41b2d97d486);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -97,6 +100,21 @@
   };
 };
 
+struct TableRecord {
+  TableRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c734c246e6ee85f6, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StageProtocol {
   StageProtocol() = delete;
 
@@ -111,6 +129,8 @@
   struct ReleaseResults;
   struct PingParams;
   struct PingResults;
+  struct ReadTableParams;
+  struct ReadTableResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -210,6 +230,36 @@
   };
 };
 
+struct StageProtocol::ReadTableParams {
+  ReadTableParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ebe8197f995468de, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StageProtocol::ReadTableResults {
+  ReadTableResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aedfd41b2d97d486, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ZoneBytes::Reader {
@@ -638,6 +688,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class TableRecord::Reader {
+public:
+  typedef TableRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Data::Reader getKey() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline bool getGone() const;
+
+  inline  ::uint64_t getOffset() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TableRecord::Builder {
+public:
+  typedef TableRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Data::Builder getKey();
+  inline void setKey( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline bool getGone();
+  inline void setGone(bool value);
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TableRecord::Pipeline {
+public:
+  typedef TableRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class StageProtocol::Client
     : public virtual ::capnp::Capability::Client {
@@ -663,6 +814,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults> pingRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults> readTableRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -691,6 +844,10 @@
   typedef  ::mimosahub::wire::StageProtocol::PingResults PingResults;
   typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
   virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableParams ReadTableParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableResults ReadTableResults;
+  typedef ::capnp::CallContext<ReadTableParams, ReadTableResults> ReadTableContext;
+  virtual ::kj::Promise<void> readTable(ReadTableContext context);
 
   inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1193,6 +1350,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class StageProtocol::ReadTableParams::Reader {
+public:
+  typedef ReadTableParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getTable() const;
+
+  inline  ::uint64_t getFrom() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ReadTableParams::Builder {
+public:
+  typedef ReadTableParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getTable();
+  inline void setTable( ::uint8_t value);
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::ReadTableParams::Pipeline {
+public:
+  typedef ReadTableParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::ReadTableResults::Reader {
+public:
+  typedef ReadTableResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline  ::uint64_t getNext() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ReadTableResults::Builder {
+public:
+  typedef ReadTableResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline  ::uint64_t getNext();
+  inline void setNext( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::ReadTableResults::Pipeline {
+public:
+  typedef ReadTableResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool ZoneBytes::Reader::hasZone() const {
@@ -1643,6 +1977,102 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TableRecord::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TableRecord::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader TableRecord::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder TableRecord::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TableRecord::Builder::setKey( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder TableRecord::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TableRecord::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> TableRecord::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TableRecord::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TableRecord::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader TableRecord::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder TableRecord::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TableRecord::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder TableRecord::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TableRecord::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> TableRecord::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool TableRecord::Reader::getGone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool TableRecord::Builder::getGone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TableRecord::Builder::setGone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TableRecord::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableRecord::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TableRecord::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline StageProtocol::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1890,6 +2320,110 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t StageProtocol::ReadTableParams::Reader::getTable() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t StageProtocol::ReadTableParams::Builder::getTable() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableParams::Builder::setTable( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableParams::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableParams::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableParams::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StageProtocol::ReadTableResults::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool StageProtocol::ReadTableResults::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableResults::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StageProtocol::ReadTableResults::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StageProtocol::ReadTableResults::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableResults::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableResults::Reader::getNext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableResults::Builder::getNext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableResults::Builder::setNext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StageProtocol::ReadTableResults::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageProtocol::ReadTableResults::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader StageProtocol::ReadTableResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder StageProtocol::ReadTableResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageProtocol::ReadTableResults::Builder::setRecords( ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder StageProtocol::ReadTableResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StageProtocol::ReadTableResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>> StageProtocol::ReadTableResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
