Tell daemons that hand on endpoints' entries how far they have read operators' documents

The store turned single daemons away; the read that waited for documents was lost, and as endpoints' entries came from another daemon no read of the store failed afterwards that would have shown it (front-midrand-19: store-lost 18.0 s, regained by the relayed table 18.2 s, no line after). Mend: an answer carries the relay's position in the documents; two in a row that are ahead give the waiting read up for a new one. Ruled out: shorter waits (33 calls a second more at 70 daemons), and not counting relayed answers as the store's return (lapsed entries would be kept too long). Test: relayed_store/documents_that_another_daemon_knows_twice_are_missing_here (new interface).

--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -50,5 +50,5 @@
   run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (loads :List(BatchLoad));
-  readTable @3 (table :UInt8, from :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord));
+  readTable @3 (table :UInt8, from :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord), documents :UInt64);
 }
--- a/src/follow/table_relay.cc
+++ b/src/follow/table_relay.cc
@@ -24,6 +24,12 @@
     }
 }
 
+void TableRelay::putDocuments(StoreOffset next)
+{
+    const std::lock_guard lock(m_mutex);
+    m_documents = next;
+}
+
 std::optional<TableAnswer> TableRelay::answer(StoreOffset from, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
@@ -36,6 +42,7 @@
         std::find_if(m_records.begin(), m_records.end(), [&](const auto &record) { return record.offset >= from; });
     answer.run.records.assign(first, m_records.end());
     answer.run.next = m_end;
+    answer.documents = m_documents;
     answer.age = std::max(Duration::zero(), Duration(now - *m_provenAt));
     return answer;
 }
--- a/src/follow/table_relay.h
+++ b/src/follow/table_relay.h
@@ -14,6 +14,7 @@
 struct TableAnswer {
     KeyedRun run;
     Duration age{}; ///< The run holds all that was in the table so long ago.
+    StoreOffset documents; ///< That daemon has read the operators' documents up to here.
 };
 
 struct TableRelayOptions {
@@ -33,6 +34,8 @@
     /// A read from \a from on, sent at \a sentAt, was answered; \a run has only the
     /// records that matter.
     void add(StoreOffset from, const KeyedRun &run, TimePoint sentAt);
+    /// This daemon has read the operators' documents up to \a next.
+    void putDocuments(StoreOffset next);
     /// What follows \a from; absent if that isn't known here.
     [[nodiscard]] std::optional<TableAnswer> answer(StoreOffset from, TimePoint now);
     /// Whether other daemons asked lately.
@@ -46,6 +49,7 @@
     StoreOffset m_end; ///< up to here is in m_records.
     std::optional<TimePoint> m_provenAt; ///< The table ended at m_end then; absent if nothing was read.
     std::optional<TimePoint> m_askedAt;
+    StoreOffset m_documents;
 };
 
 /// Reads tables from other daemons.
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -303,8 +303,20 @@
     });
 }
 
+// A daemon that reads endpoints' entries from another one doesn't see that the store
+// has lost its read of documents; that the other one knows more of them shows it.
+void GatewayControl::compareDocuments()
+{
+    m_store->putDocuments(m_operators.next());
+    if (m_store->documentsMissing(m_operators.next())) {
+        logEvent(LogLevel::Warning, "documents-missing").with("next", m_operators.next());
+        m_operators.readAgain();
+    }
+}
+
 void GatewayControl::storeReached(StoreTable table)
 {
+    compareDocuments();
     if (m_storeLost) {
         m_storeLost = false;
         m_directory.storeReturned(m_clock.now());
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -61,6 +61,7 @@
     http::Awaitable<void> withdraw();
     void publish();
     void armExpiry();
+    void compareDocuments();
     void noteUnreadable(StoreTable table, const std::string &key, const absl::Status &status);
 
     const Clock &m_clock;
--- a/src/gateway/relayed_store.cc
+++ b/src/gateway/relayed_store.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <utility>
+
 namespace mimosahub
 {
 
@@ -64,6 +66,7 @@
         for (const auto &record : answer->run.records) {
             note(record);
         }
+        m_documentsBefore = std::exchange(m_documentsHeard, answer->documents);
         answer->run.readOnAfter = m_options.interval;
         co_return std::move(answer->run);
     }
@@ -84,6 +87,16 @@
     co_return run;
 }
 
+bool RelayedStore::documentsMissing(StoreOffset next)
+{
+    const bool missing = m_documentsHeard && m_documentsBefore && *m_documentsHeard > next && *m_documentsBefore > next;
+    if (missing) {
+        m_documentsHeard.reset();
+        m_documentsBefore.reset();
+    }
+    return missing;
+}
+
 bool RelayedStore::note(const KeyedRecord &record)
 {
     auto endpoint = record.value ? m_documents.endpoint(record.key, *record.value) : absl::NotFoundError("");
--- a/src/gateway/relayed_store.h
+++ b/src/gateway/relayed_store.h
@@ -35,6 +35,15 @@
     http::Awaitable<AppendResult> append(StoreTable table, std::string key, std::optional<std::string> value,
                                          std::optional<StoreOffset> expectedEnd) override;
 
+    /// This daemon has read the operators' documents up to \a next, as other daemons may hear.
+    void putDocuments(StoreOffset next)
+    {
+        m_relay.putDocuments(next);
+    }
+    /// Whether another daemon knew of documents from \a next on in each of its last two
+    /// answers: the read that waits for them was lost. True once for each such pair.
+    [[nodiscard]] bool documentsMissing(StoreOffset next);
+
 private:
     http::Awaitable<std::optional<TableAnswer>> askOther(StoreTable table, StoreOffset from);
     /// Remembers what \a record says; false if that is no news.
@@ -47,6 +56,8 @@
     TableAsker &m_asker;
     TableRelay &m_relay;
     RelayedStoreOptions m_options;
+    std::optional<StoreOffset> m_documentsHeard; ///< Of the last answer.
+    std::optional<StoreOffset> m_documentsBefore; ///< Of the one before.
     std::map<std::string, ListedEndpoint> m_known; ///< By key, but for the number of the entry.
 };
 
--- a/src/gateway/relayed_store_test.cc
+++ b/src/gateway/relayed_store_test.cc
@@ -161,3 +161,18 @@
     cr_assert(answer->run.records[1].value == "v2 3" && answer->run.next == StoreOffset(13));
     cr_assert(it.read(13).readOnAfter == Duration(250ms)); // Others rely on it now.
 }
+
+// Seen on krytjie-hq-grown, hunt-6dca-3: the read that waited for documents was lost,
+// and endpoints' entries came from another daemon.
+Test(relayed_store, documents_that_another_daemon_knows_twice_are_missing_here)
+{
+    Fixture it;
+    it.asker.answer = answerOf(100ms);
+    it.asker.answer->documents = StoreOffset(9);
+    static_cast<void>(it.read(4));
+    cr_assert(!it.store.documentsMissing(StoreOffset(8))); // The answer may be on its way.
+    static_cast<void>(it.read(5));
+    cr_assert(!it.store.documentsMissing(StoreOffset(9)));
+    cr_assert(it.store.documentsMissing(StoreOffset(8)));
+    cr_assert(!it.store.documentsMissing(StoreOffset(8))); // Once is enough.
+}
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -312,7 +312,7 @@
     }
 }
 
-void StageRouter::askTable(StoreTable table, StoreOffset from, TableAsker::Told told)
+void StageRouter::askTable(StoreTable table, StoreOffset from, const TableAsker::Told &told)
 {
     const auto relay = m_daemons.ownerOf(m_relayKey);
     const auto address = m_daemons.addressOf(relay);
--- a/src/peer/stage_codec.cc
+++ b/src/peer/stage_codec.cc
@@ -145,6 +145,7 @@
     out.setKnown(true);
     out.setAgeUs(toMicroseconds(answer.age));
     out.setNext(answer.run.next.value());
+    out.setDocuments(answer.documents.value());
     auto records = out.initRecords(static_cast<unsigned>(answer.run.records.size()));
     for (unsigned i = 0; i < answer.run.records.size(); ++i) {
         writeRecord(answer.run.records[i], records[i]);
@@ -159,6 +160,7 @@
     TableAnswer answer;
     answer.age = std::max(Duration::zero(), fromMicroseconds(in.getAgeUs()));
     answer.run.next = StoreOffset(in.getNext());
+    answer.documents = StoreOffset(in.getDocuments());
     for (const auto record : in.getRecords()) {
         answer.run.records.push_back(readRecord(record));
     }
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -115,7 +115,8 @@
                             from.next().next(),
                             false,
                             std::nullopt},
-                           300ms};
+                           300ms,
+                           StoreOffset(31)};
     }
 
     std::unique_ptr<StageService> service;
@@ -239,6 +240,7 @@
     const auto expected = peer.readTable(StoreTable::Endpoints, StoreOffset(7));
     cr_assert(got && got->run.records == expected->run.records);
     cr_assert(got->run.next == StoreOffset(9) && got->age == 300ms);
+    cr_assert(got->documents == StoreOffset(31));
     cr_assert(!unknown.get_future().get());
 }
 
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -253,7 +253,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aedfd41b2d97d486, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(aedfd41b2d97d486, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1457,6 +1457,8 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline  ::uint64_t getDocuments() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1501,6 +1503,9 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline  ::uint64_t getDocuments();
+  inline void setDocuments( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2424,6 +2429,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StageProtocol::ReadTableResults::Reader::getDocuments() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableResults::Builder::getDocuments() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableResults::Builder::setDocuments( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
