Take back the telling of an order that was given up before any configuration

Ruled out: a paused process (it had ended), signals (none came). Mend: such an order has a ticket, whose end takes the telling back, as other orders have.

--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -66,6 +66,30 @@
     std::vector<ResultHandle> m_handles;
 };
 
+/// An order that nobody can plan: its end is on its way, unless it is given up before.
+class StageRunner::FailedTicket : public StageTicket
+{
+public:
+    FailedTicket() = default;
+    ~FailedTicket() override
+    {
+        *m_wanted = false;
+    }
+    FailedTicket(const FailedTicket &) = delete;
+    FailedTicket &operator=(const FailedTicket &) = delete;
+
+    void keepResults() override
+    {
+    }
+    [[nodiscard]] std::shared_ptr<const bool> wanted() const
+    {
+        return m_wanted;
+    }
+
+private:
+    std::shared_ptr<bool> m_wanted = std::make_shared<bool>(true);
+};
+
 StageRunner::StageRunner(boost::asio::io_context &io, const Clock &clock, const CallProtocol &protocol,
                          http::ConnectionPool &pool, MetricRegistry &metrics)
     : m_io(io),
@@ -118,8 +142,13 @@
 {
     auto *desk = deskOf(service);
     if (desk == nullptr) {
-        boost::asio::post(m_io, [done = std::move(done)] { done({PieceOutcome::Failed, {}}); });
-        return nullptr;
+        auto ticket = std::make_unique<FailedTicket>();
+        boost::asio::post(m_io, [wanted = ticket->wanted(), done = std::move(done)] {
+            if (*wanted) {
+                done({PieceOutcome::Failed, {}});
+            }
+        });
+        return ticket;
     }
     const auto id = desk->planner.add(std::move(order));
     auto ticket = std::make_unique<Ticket>(*this, service, id);
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -39,6 +39,7 @@
 
 private:
     class Ticket;
+    class FailedTicket;
     struct Desk {
         explicit Desk(boost::asio::io_context &io, const BatchRule &rule) : planner(rule, {}), timer(io)
         {
