--- a/src/forward/result_memory.cc
+++ b/src/forward/result_memory.cc
@@ -109,10 +109,16 @@
     }
 }
 
+/// Whether the endpoint's own figure is still needed.
+bool ResultMemory::isOpen(const Account &account) const
+{
+    return m_capacity > 0 && (!account.stated || account.others > 0);
+}
+
 bool ResultMemory::needsQuestion(const Account &account, TimePoint now) const
 {
     const bool recent = account.askedAt && now - *account.askedAt < m_options.askInterval;
-    return m_capacity > 0 && !recent && (!account.stated || account.others > 0);
+    return !recent && isOpen(account);
 }
 
 std::vector<MemoryQuestion> ResultMemory::takeQuestions(TimePoint now)
@@ -162,7 +168,7 @@
         take(kept.dropsAt);
     }
     for (const auto &[endpoint, account] : m_accounts) {
-        if (m_capacity > 0 && account.askedAt && (!account.stated || account.others > 0)) {
+        if (account.askedAt && isOpen(account)) {
             take(*account.askedAt + m_options.answerPatience);
             take(*account.askedAt + m_options.askInterval);
         }
--- a/src/forward/result_memory.h
+++ b/src/forward/result_memory.h
@@ -100,6 +100,7 @@
         std::uint64_t usedWhenAsked = 0;
     };
 
+    [[nodiscard]] bool isOpen(const Account &account) const;
     [[nodiscard]] bool needsQuestion(const Account &account, TimePoint now) const;
 
     ResultMemoryOptions m_options;
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -184,7 +184,7 @@
         }
     }
     for (auto &[maker, results] : unknown) {
-        http::spawn(m_io, dropUnknown(maker, std::move(results)));
+        http::spawn(m_io, dropAtMaker(maker, std::move(results)));
     }
 }
 
@@ -326,16 +326,12 @@
 
 http::Awaitable<void> StageRunner::drop(ServiceId service, ResultRelease release)
 {
-    const auto answer =
-        co_await m_pool.call(release.address, m_protocol.writeRelease(release.handles), kReleaseTimeout);
-    if (!answer.ok()) {
-        logEvent(LogLevel::Debug, "release-failed").with(answer.status());
-    }
+    co_await dropAtMaker(release.address, release.handles);
     deskOf(service)->planner.releaseEnded(release);
     schedule(service);
 }
 
-http::Awaitable<void> StageRunner::dropUnknown(Address maker, std::vector<ResultHandle> handles)
+http::Awaitable<void> StageRunner::dropAtMaker(Address maker, std::vector<ResultHandle> handles)
 {
     const auto answer = co_await m_pool.call(maker, m_protocol.writeRelease(handles), kReleaseTimeout);
     if (!answer.ok()) {
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -59,7 +59,7 @@
     void armTimer(const ServiceId &service, Desk &desk);
     http::Awaitable<void> run(ServiceId service, BatchCall call);
     http::Awaitable<void> drop(ServiceId service, ResultRelease release);
-    http::Awaitable<void> dropUnknown(Address maker, std::vector<ResultHandle> handles);
+    http::Awaitable<void> dropAtMaker(Address maker, std::vector<ResultHandle> handles);
     http::Awaitable<void> ask(ServiceId service, MemoryQuestion question);
     void release(Desk &desk, const std::vector<ResultHandle> &handles);
     void failed(const ServiceId &service, const BatchCall &call, BatchFailure failure, const absl::Status &status);
