Read each answer under one deadline and with a bound for each of its parts

Callers saw a request held to its deadline, and a daemon's memory grow, while an endpoint sent bytes without end. Each piece of a body armed the timer anew, so a peer that dripped a byte now and then was never late. A chunk's header and the trailer were kept without a bound and searched from their begin with each read. An interim answer (1xx) was taken for the final one.

send() now begins a call with one deadline, which no later read of its answer outlives, and readRest() is timed as a whole. Bounds: 8 KiB of head, 16 KiB of a chunk's header or a trailer, 8 interim answers, the body as each call states; a longer Content-Length ends the call at once. Errors carry step and peer: ResourceExhausted for size, DeadlineExceeded for time.

Heads were bounded (8 KiB) and are so by name now.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -2,6 +2,9 @@
 // call that was sent on it; a late or crossed answer dies with its connection.
 // Between two ends something may forget a connection without telling either:
 // hence the idle limit, keepalive, and TCP's user timeout for unacknowledged data.
+//
+// A faulty server may send bytes without end in each part of an answer, at any
+// pace. Each part has a limit, and all reads of a call share its deadline.
 
 #include "http/client.h"
 
@@ -9,6 +12,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <array>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -22,6 +26,11 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kReadSize = std::size_t(16) * 1024;
+constexpr std::uint32_t kMaxHeadBytes = std::uint32_t(8) * 1024;
+constexpr std::size_t kMaxFramingBytes = std::size_t(16) * 1024; ///< Of a chunk's header, or of the trailer.
+constexpr int kMaxInterimAnswers = 8; ///< Answers with status 1xx before the final one.
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kSwitchingProtocols = 101; ///< The only status below that no other answer follows.
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
@@ -52,13 +61,22 @@
     if (ec == asio::error::operation_aborted) {
         return absl::StatusCode::kCancelled;
     }
+    using Error = beast::http::error;
+    if (ec == Error::header_limit || ec == Error::body_limit) {
+        return absl::StatusCode::kResourceExhausted;
+    }
     return absl::StatusCode::kUnavailable;
 }
 
+bool isInterim(unsigned status)
+{
+    return status < kFirstFinalStatus && status != kSwitchingProtocols;
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context &io, Address peer, const SilenceOptions &silence)
-    : m_peer(std::move(peer)), m_silence(silence), m_stream(io)
+    : m_peer(std::move(peer)), m_silence(silence), m_stream(io), m_deadline(io)
 {
 }
 
@@ -98,7 +116,8 @@
     request.version(11);
     request.keep_alive(true);
     request.prepare_payload();
-    m_stream.expires_after(timeout);
+    m_deadline.expires_after(timeout);
+    m_stream.expires_at(m_deadline.expiry());
     const auto [ec, n] = co_await beast::http::async_write(m_stream, request, kTuple);
     if (ec) {
         co_return failed(Step::Send, ec);
@@ -106,24 +125,42 @@
     co_return absl::OkStatus();
 }
 
+/// The end of a read that may take \a timeout, or less if the call's deadline is sooner.
+ClientConnection::IoTime ClientConnection::readUntil(Duration timeout)
+{
+    const asio::steady_timer timer(m_stream.get_executor(), timeout);
+    return std::min(timer.expiry(), m_deadline.expiry());
+}
+
 Awaitable<absl::StatusOr<Response>> ClientConnection::readHeader(Duration timeout)
 {
-    m_parser.emplace();
-    m_parser->body_limit(boost::none);
-    m_stream.expires_after(timeout);
-    const auto [ec, n] = co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, kTuple);
-    if (ec) {
-        co_return failed(Step::Receive, ec);
+    m_stream.expires_at(readUntil(timeout));
+    for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
+        m_parser.emplace();
+        m_parser->header_limit(kMaxHeadBytes);
+        m_parser->body_limit(boost::none);
+        const auto [ec, n] = co_await beast::http::async_read_header(m_stream, m_buffer, *m_parser, kTuple);
+        if (ec) {
+            co_return failed(Step::Receive, ec);
+        }
+        if (!isInterim(m_parser->get().result_int())) {
+            co_return Response(m_parser->get().base());
+        }
     }
-    co_return Response(m_parser->get().base());
+    co_return failed(Step::Receive, beast::http::error::header_limit);
 }
 
 Awaitable<absl::StatusOr<std::string>> ClientConnection::readSome(Duration timeout)
+{
+    co_return co_await readSomeUntil(readUntil(timeout));
+}
+
+Awaitable<absl::StatusOr<std::string>> ClientConnection::readSomeUntil(IoTime end)
 {
     std::string data;
     auto ec = takeBuffered(data);
     if (!ec && data.empty() && !m_parser->is_done()) {
-        m_stream.expires_after(timeout);
+        m_stream.expires_at(end);
     }
     while (!ec && data.empty() && !m_parser->is_done()) {
         const auto [error, n] = co_await m_stream.async_read_some(m_buffer.prepare(kReadSize), kTuple);
@@ -161,14 +198,26 @@
     m_parser->eager(true);
     m_buffer.consume(m_parser->put(m_buffer.data(), ec));
     data.resize(data.size() - body.size);
-    return ec == beast::http::error::need_more ? boost::system::error_code() : ec;
+    if (ec != beast::http::error::need_more) {
+        return ec;
+    }
+    // What is left is the beginning of a chunk's header or of the trailer.
+    ec = {};
+    if (m_buffer.size() > kMaxFramingBytes) {
+        ec = beast::http::error::header_limit;
+    }
+    return ec;
 }
 
 Awaitable<absl::StatusOr<std::string>> ClientConnection::readRest(Duration timeout, std::uint64_t maxBytes)
 {
+    if (!m_parser->is_done() && m_parser->content_length_remaining().value_or(0) > maxBytes) {
+        co_return failed(Step::Receive, beast::http::error::body_limit);
+    }
+    const auto end = readUntil(timeout);
     std::string whole;
     while (!m_parser->is_done()) {
-        auto data = co_await readSome(timeout);
+        auto data = co_await readSomeUntil(end);
         if (!data.ok()) {
             co_return data.status();
         }
@@ -260,13 +309,14 @@
     }
 }
 
-Awaitable<absl::StatusOr<Response>> ConnectionPool::call(Address peer, Request request, Duration timeout)
+Awaitable<absl::StatusOr<Response>> ConnectionPool::call(Address peer, Request request, Duration timeout,
+                                                         std::uint64_t maxBytes)
 {
     auto connection = co_await acquire(peer, false);
     if (!connection.ok()) {
         co_return connection.status();
     }
-    auto response = co_await (*connection)->call(std::move(request), timeout, m_options.maxAnswerBytes);
+    auto response = co_await (*connection)->call(std::move(request), timeout, maxBytes);
     if (response.ok()) {
         release(std::move(*connection));
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -26,7 +27,8 @@
 };
 
 /// One connection to a server. It carries one call at a time; after any error
-/// or timeout it is closed and never used again.
+/// or timeout it is closed and never used again. An answer that exceeds a limit
+/// of its size ends with ResourceExhausted, a late one with DeadlineExceeded.
 class ClientConnection
 {
 public:
@@ -34,16 +36,19 @@
 
     /// Connects within \a timeout.
     Awaitable<absl::Status> connect(Duration timeout);
-    /// Writes \a request. Once it has begun, bytes may have reached the peer.
+    /// Writes \a request and begins a call, which ends within \a timeout: no read
+    /// of its answer goes on after that, whatever that read may take by itself.
+    /// Once it has begun, bytes may have reached the peer.
     Awaitable<absl::Status> send(Request &request, Duration timeout);
-    /// Reads the answer's header.
+    /// Reads the final answer's header; interim ones are passed over.
     Awaitable<absl::StatusOr<Response>> readHeader(Duration timeout);
     /// Reads more of the body: all bytes that have come, at least one, or empty at
     /// the end of the answer.
     Awaitable<absl::StatusOr<std::string>> readSome(Duration timeout);
-    /// Reads the rest of the body, of at most \a maxBytes.
+    /// Reads the rest of the body, of at most \a maxBytes, within \a timeout.
     Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes);
-    /// Sends \a request and reads its whole answer, of at most \a maxBytes of body.
+    /// Sends \a request and reads its whole answer, of at most \a maxBytes of body,
+    /// within \a timeout.
     Awaitable<absl::StatusOr<Response>> call(Request request, Duration timeout, std::uint64_t maxBytes);
     /// Closes at once.
     void close();
@@ -63,25 +68,33 @@
     }
 
 private:
+    /// A point in time of the sockets' clock.
+    using IoTime = asio::steady_timer::time_point;
+
     absl::Status failed(Step step, boost::system::error_code ec);
+    IoTime readUntil(Duration timeout);
+    Awaitable<absl::StatusOr<std::string>> readSomeUntil(IoTime end);
     boost::system::error_code takeBuffered(std::string &data);
 
     Address m_peer;
     SilenceOptions m_silence;
     beast::tcp_stream m_stream;
+    asio::steady_timer m_deadline; ///< Of the call; its expiry is read and never waited for.
     beast::flat_buffer m_buffer;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     bool m_bytesLeft = false;
     bool m_broken = false;
 };
 
+/// Largest body of an answer for which a call states no limit of its own, in bytes.
+constexpr std::uint64_t kMaxBodyBytes = std::uint64_t(8) << 20U;
+
 /// Limits of a pool.
 struct PoolOptions {
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration maxIdle = std::chrono::seconds(4); ///< Older idle connections may have gone silent and are dropped.
     Duration provenAge = std::chrono::milliseconds(500); ///< Idle at most this long counts as proven.
     std::size_t maxIdlePerPeer = 64;
-    std::uint64_t maxAnswerBytes = std::uint64_t(8) * 1024 * 1024;
     SilenceOptions silence;
 };
 
@@ -103,8 +116,10 @@
         m_idle.clear();
     }
 
-    /// Sends one request and reads its whole answer within \a timeout.
-    Awaitable<absl::StatusOr<Response>> call(Address peer, Request request, Duration timeout);
+    /// Sends one request and reads its whole answer, of at most \a maxBytes of body,
+    /// within \a timeout.
+    Awaitable<absl::StatusOr<Response>> call(Address peer, Request request, Duration timeout,
+                                             std::uint64_t maxBytes = kMaxBodyBytes);
 
 private:
     struct Idle {
--- /dev/null
+++ b/src/http/client_test.cc
@@ -0,0 +1,169 @@
+// Answers of servers in trouble: bytes without end in each part of an answer, and
+// bytes that come too slowly.
+
+#include "http/client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace mimosahub;
+using namespace mimosahub::http;
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration kCallTimeout = 1s;
+constexpr Duration kLongestCall = kCallTimeout + 1s; ///< With room for a busy machine.
+constexpr auto kTestEnd = 5s; ///< A call that goes on until then is without a bound.
+constexpr std::uint64_t kMaxBody = std::uint64_t(1) << 20U; ///< Bytes.
+constexpr std::size_t kMaxTaken = std::size_t(16) << 20U; ///< Bytes; most of them wait in the sockets' buffers.
+
+/// What a server sends after a request, whatever the request is.
+struct Script {
+    std::string begin; ///< Once.
+    std::string repeated; ///< Then this without end; empty: nothing more.
+    std::chrono::milliseconds pause{0}; ///< Before each repetition.
+};
+
+/// How a call ended.
+struct CallEnd {
+    bool ended = false;
+    absl::StatusOr<Response> answer = absl::UnknownError("the call goes on");
+    bool reusable = false;
+    Duration time{0};
+    std::size_t sent = 0; ///< Bytes that the server could send.
+};
+
+Awaitable<void> playScript(tcp::acceptor &acceptor, const Script &script, std::size_t &sent)
+{
+    auto [acceptError, socket] = co_await acceptor.async_accept(kTuple);
+    std::string request;
+    auto [ec, n] =
+        co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", kTuple);
+    std::tie(ec, n) = co_await boost::asio::async_write(socket, boost::asio::buffer(script.begin), kTuple);
+    boost::asio::steady_timer timer(socket.get_executor());
+    while (!ec && !script.repeated.empty()) {
+        if (script.pause > 0ms) {
+            timer.expires_after(script.pause);
+            co_await timer.async_wait(kTuple);
+        }
+        std::tie(ec, n) = co_await boost::asio::async_write(socket, boost::asio::buffer(script.repeated), kTuple);
+        sent += n;
+    }
+    // A close here could reach the client before it has read what was sent.
+    co_await socket.async_wait(tcp::socket::wait_read, kTuple);
+}
+
+Awaitable<void> callOnce(asio::io_context &io, std::uint16_t port, CallEnd &end)
+{
+    ClientConnection connection(io, {"127.0.0.1", port});
+    cr_assert((co_await connection.connect(kTestEnd)).ok());
+    const SystemClock clock;
+    const auto begin = clock.now();
+    Request request(beast::http::verb::get, "/", 11);
+    end.answer = co_await connection.call(std::move(request), kCallTimeout, kMaxBody);
+    end.time = clock.now() - begin;
+    end.reusable = connection.reusable();
+    end.ended = true;
+}
+
+CallEnd endOfCall(const Script &script)
+{
+    asio::io_context io(1);
+    tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    CallEnd end;
+    const auto rethrow = [](const std::exception_ptr &error) { cr_assert(!error); };
+    asio::co_spawn(io, playScript(acceptor, script, end.sent), rethrow);
+    asio::co_spawn(io, callOnce(io, acceptor.local_endpoint().port(), end), rethrow);
+    io.run_for(kTestEnd);
+    return end;
+}
+
+void checkRefused(const std::string &what, const Script &script, absl::StatusCode code)
+{
+    const auto end = endOfCall(script);
+    const auto status = end.answer.status();
+    cr_expect(end.ended && status.code() == code, "%s: %s", what.c_str(), describe(status).c_str());
+    cr_expect(!end.ended || (stepOf(status) == "receive" && peerOf(status).starts_with("127.0.0.1:")), "%s",
+              what.c_str());
+    cr_expect(end.time < kLongestCall, "%s", what.c_str());
+    cr_expect(end.sent < kMaxTaken, "%s: %zu bytes were taken", what.c_str(), end.sent);
+    cr_expect(!end.reusable, "%s", what.c_str());
+}
+
+const std::string kHead = "HTTP/1.1 200 OK\r\n";
+const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+Test(client, ends_a_call_whose_answer_has_no_end)
+{
+    const std::string block(4096, 'x');
+    const Script scripts[] = {
+        {"HTTP/1.1 200 ", block},
+        {kHead, "X-Many: 1\r\n"},
+        {kHead + "X-Long: ", block},
+        {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+        {kChunkedHead, "1000\r\n" + block + "\r\n"},
+        {kHead + "Content-Length: 99999999999\r\n\r\n", block},
+        {kHead + "\r\n", block},
+        {kChunkedHead + "1;", block},
+        {kChunkedHead + "1\r\nx\r\n0\r\n", "X-Many: 1\r\n"},
+    };
+    for (const auto &script : scripts) {
+        checkRefused(script.begin + "...", script, absl::StatusCode::kResourceExhausted);
+    }
+}
+
+Test(client, ends_a_call_whose_answer_comes_byte_by_byte)
+{
+    const Script scripts[] = {
+        {kHead, "x", 100ms},
+        {kHead + "Content-Length: 1000\r\n\r\n", "x", 100ms},
+        {kChunkedHead, "1\r\nx\r\n", 100ms},
+        {kChunkedHead + "1;", "x", 100ms},
+    };
+    for (const auto &script : scripts) {
+        checkRefused(script.begin + "...", script, absl::StatusCode::kDeadlineExceeded);
+    }
+}
+
+Test(client, bytes_that_are_no_answer_end_a_call_at_once)
+{
+    for (const auto *begin : {"\r\n\r\n", "   ", "SSH-2.0-x\r\n", "\x16\x03\x01"}) {
+        const auto end = endOfCall({begin, std::string(4096, '\n')});
+        cr_expect(end.ended && !end.answer.ok() && end.time < kCallTimeout, "%s", begin);
+    }
+}
+
+Test(client, passes_over_interim_answers)
+{
+    const auto end = endOfCall({"HTTP/1.1 100 Continue\r\n\r\n"
+                                "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                                ""});
+    cr_assert(end.answer.ok(), "%s", describe(end.answer.status()).c_str());
+    cr_assert(end.answer->result_int() == 200 && end.answer->body() == "ok");
+    cr_assert(end.reusable);
+}
+
+Test(client, never_reuses_a_connection_with_bytes_after_the_answer)
+{
+    const auto end = endOfCall({kHead + "Content-Length: 2\r\n\r\nok", "more"});
+    cr_assert(end.answer.ok() && end.answer->body() == "ok");
+    cr_assert_not(end.reusable);
+}
+
+Test(client, reads_a_body_of_the_largest_size)
+{
+    const auto size = std::to_string(kMaxBody);
+    const auto end = endOfCall({kHead + "Content-Length: " + size + "\r\n\r\n" + std::string(kMaxBody, 'x'), ""});
+    cr_assert(end.answer.ok() && end.answer->body().size() == kMaxBody);
+    cr_assert(end.reusable);
+}
