Give up a stream whose event has no end

A stream's incomplete event was kept without a bound and searched from its begin with each read. The request is then resumed at another endpoint, as after any broken stream, or its caller's connection is closed.

--- a/src/forward/event_splitter.cc
+++ b/src/forward/event_splitter.cc
@@ -4,27 +4,35 @@
 
 #include "forward/event_splitter.h"
 
+#include <algorithm>
+
 namespace mimosahub
 {
 
 namespace
 {
 
-/// The position after the first event in \a text, searched from \a from on; npos if
-/// no event is complete.
-std::size_t eventEnd(std::string_view text, std::size_t from)
+/// The position after the first event in \a text; npos if none is complete. The
+/// search begins at \a from, which is set to where it continues once more has come.
+std::size_t eventEnd(std::string_view text, std::size_t &from)
 {
     while (true) {
         const auto feed = text.find('\n', from);
         if (feed == std::string_view::npos) {
+            from = text.size();
             return feed;
         }
         auto next = feed + 1;
         if (next < text.size() && text[next] == '\r') {
             ++next;
         }
-        if (next < text.size() && text[next] == '\n') {
-            return next + 1;
+        if (next == text.size()) {
+            from = feed;
+            return std::string_view::npos;
+        }
+        if (text[next] == '\n') {
+            from = next + 1;
+            return from;
         }
         from = feed + 1;
     }
@@ -34,11 +42,15 @@
 
 std::string EventSplitter::take(std::string_view bytes)
 {
+    if (m_tooLong) {
+        return {};
+    }
     m_rest += bytes;
     std::size_t begin = 0;
     while (true) {
-        const auto end = eventEnd(m_rest, begin);
-        if (end == std::string::npos) {
+        const auto end = eventEnd(m_rest, m_searched);
+        m_tooLong = std::min(end, m_rest.size()) - begin > m_maxEventBytes;
+        if (end == std::string::npos || m_tooLong) {
             break;
         }
         recordEvent(std::string_view(m_rest).substr(begin, end - begin));
@@ -46,6 +58,7 @@
     }
     std::string whole = m_rest.substr(0, begin);
     m_rest.erase(0, begin);
+    m_searched -= begin;
     return whole;
 }
 
--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -11,14 +11,24 @@
 class EventSplitter
 {
 public:
+    static constexpr std::size_t kMaxEventBytes = std::size_t(1) << 20U;
+
     EventSplitter() = default;
-    /// Continues a stream after the event with id \a lastId.
-    explicit EventSplitter(std::string lastId) : m_lastId(std::move(lastId))
+    /// Continues a stream after the event with id \a lastId. \a maxEventBytes bounds
+    /// the memory that one event can take.
+    explicit EventSplitter(std::string lastId, std::size_t maxEventBytes = kMaxEventBytes)
+        : m_maxEventBytes(maxEventBytes), m_lastId(std::move(lastId))
     {
     }
 
     /// Appends \a bytes and returns all events that are now complete, unchanged.
+    /// Returns none after an event that is too long.
     [[nodiscard]] std::string take(std::string_view bytes);
+    /// Whether an event exceeded the limit: the stream can't be read on.
+    [[nodiscard]] bool tooLong() const
+    {
+        return m_tooLong;
+    }
     /// The bytes of the last, incomplete event.
     [[nodiscard]] const std::string &rest() const
     {
@@ -38,7 +48,10 @@
 private:
     void recordEvent(std::string_view event);
 
+    std::size_t m_maxEventBytes = kMaxEventBytes;
     std::string m_rest;
+    std::size_t m_searched = 0; ///< No event of the rest ends before this position.
+    bool m_tooLong = false;
     std::string m_lastId;
     std::size_t m_events = 0;
 };
--- /dev/null
+++ b/src/forward/event_splitter_fuzz.cc
@@ -0,0 +1,70 @@
+// libFuzzer entry point. Checks that an engine's bytes are split at the same events
+// however they come, that no byte is changed, and that an event over the limit ends
+// the stream.
+
+#include "forward/event_splitter.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+namespace
+{
+
+/// Small, so that short inputs exceed it.
+constexpr std::size_t kMaxEventBytes = 32;
+
+struct SplitResult {
+    std::string passed;
+    std::string lastId;
+    std::size_t events = 0;
+    bool tooLong = false;
+
+    bool operator==(const SplitResult &) const = default;
+};
+
+void require(bool holds)
+{
+    if (!holds) {
+        std::abort();
+    }
+}
+
+/// Reads \a text in pieces of \a piece bytes.
+SplitResult splitInPieces(std::string_view text, std::size_t piece)
+{
+    mimosahub::EventSplitter splitter({}, kMaxEventBytes);
+    SplitResult result;
+    while (!text.empty()) {
+        result.passed += splitter.take(text.substr(0, piece));
+        text.remove_prefix(std::min(piece, text.size()));
+    }
+    result.lastId = splitter.lastId();
+    result.events = splitter.events();
+    result.tooLong = splitter.tooLong();
+    require(result.tooLong || splitter.rest().size() <= kMaxEventBytes);
+    return result;
+}
+
+} // namespace
+
+// NOLINTBEGIN(readability-identifier-naming): libFuzzer calls it by this name.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size);
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    if (size == 0) {
+        return 0;
+    }
+    // The first byte determines the size of the pieces.
+    const std::size_t piece = 1 + data[0] % 16;
+    const std::string_view text(reinterpret_cast<const char *>(data) + 1, size - 1);
+    const auto whole = splitInPieces(text, text.size() + 1);
+    require(text.starts_with(whole.passed));
+    require(whole == splitInPieces(text, piece));
+    return 0;
+}
+// NOLINTEND(readability-identifier-naming)
--- a/src/forward/event_splitter_test.cc
+++ b/src/forward/event_splitter_test.cc
@@ -47,3 +47,32 @@
     cr_assert(splitter.take("id:7\r\ndata: x\r\n\r\nid: 8") == "id:7\r\ndata: x\r\n\r\n");
     cr_assert(splitter.lastId() == "7");
 }
+
+// An event without end took memory without bound, and each of its reads was
+// searched from the event's begin.
+Test(event_splitter, an_event_without_end_is_given_up_at_its_limit)
+{
+    constexpr std::size_t kLimit = std::size_t(1) << 20U;
+    const std::string piece(1000, 'x');
+    EventSplitter splitter;
+    cr_assert(splitter.take("id: 1\ndata: whole\n\n") == "id: 1\ndata: whole\n\n");
+    std::size_t taken = 0;
+    while (!splitter.tooLong() && taken < 2 * kLimit) {
+        cr_assert(splitter.take(piece).empty());
+        taken += piece.size();
+    }
+    cr_assert(taken > kLimit - piece.size() && taken <= kLimit + piece.size(), "%zu", taken);
+    cr_assert(splitter.take("\n\n").empty());
+    cr_assert(splitter.rest().size() <= kLimit + piece.size() && splitter.lastId() == "1");
+}
+
+Test(event_splitter, many_events_in_one_read_are_not_too_long)
+{
+    std::string stream;
+    for (int i = 0; i < 200'000; ++i) {
+        stream += "data: token\n\n";
+    }
+    EventSplitter splitter;
+    cr_assert(splitter.take(stream) == stream);
+    cr_assert_not(splitter.tooLong());
+}
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -573,6 +573,11 @@
             report.why = "the caller doesn't read";
             co_return report;
         }
+        if (m_events.tooLong()) {
+            report.why = absl::StrCat("the event after ", m_events.events(), " events is too long");
+            connection.close();
+            co_return report;
+        }
         if (data->empty()) {
             break;
         }
