Bound the framing of a caller's chunked request

Heads, bodies and their time were bounded by the limits; the header of a chunk and the trailer were not, and were kept until the request's time was over (10 s). The test's 1 MiB of either was taken whole and then answered with 400 `bad-request`, "partial message".

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -31,6 +31,9 @@
 /// Time between looks at a connection that has unread data while its handler runs.
 constexpr auto kPeekInterval = std::chrono::milliseconds(50);
 
+/// Bytes of a chunk's header, or of the trailer, that are kept beyond a header's limit.
+constexpr std::size_t kMaxFramingBytes = 16384;
+
 /// Bytes asked for when a connection wakes up.
 constexpr std::size_t kFirstReadSize = 4096;
 
@@ -82,7 +85,7 @@
 
 Reason unreadableReason(boost::system::error_code ec)
 {
-    if (ec == beast::http::error::header_limit) {
+    if (ec == beast::http::error::header_limit || ec == beast::http::error::buffer_overflow) {
         return Reason::HeaderTooLarge;
     }
     if (ec == beast::http::error::body_limit) {
@@ -301,6 +304,7 @@
     beast::http::request_parser<beast::http::string_body> parser;
     parser.header_limit(m_options.maxHeaderBytes);
     parser.body_limit(m_options.maxBodyBytes);
+    buffer.max_size(m_options.maxHeaderBytes + kMaxFramingBytes);
     stream.expires_after(m_options.headerTimeout);
     const auto [headerError, headerBytes] = co_await beast::http::async_read_header(stream, buffer, parser, kTuple);
     auto ec = headerError;
--- a/src/http/server_test.cc
+++ b/src/http/server_test.cc
@@ -332,3 +332,21 @@
         cr_assert(pieces.body.starts_with(allTokens()), "after '%s'", end);
     }
 }
+
+// The header of a chunk, or the trailer, was kept without a bound until the
+// request's time was over.
+Test(server, rejects_a_chunked_request_whose_framing_has_no_end)
+{
+    RunningServer server;
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string trailer = "1\r\nx\r\n0\r\n";
+    for (int i = 0; i < 100'000; ++i) {
+        trailer += "X-Many: 1\r\n";
+    }
+    for (const auto &framing : {"1;" + std::string(std::size_t(1) << 20U, 'x'), trailer}) {
+        const auto answer = sendRaw(server.port(), head + framing);
+        cr_expect(answer.find("\"reason\":\"header-too-large\"") != std::string::npos, "%.9s...: %s", framing.c_str(),
+                  answer.c_str());
+    }
+    runClient([&](ConnectionPool &pool) { return checkAlive(pool, {"127.0.0.1", server.port()}); });
+}
