--- a/bench/experiment/load_generator.h
+++ b/bench/experiment/load_generator.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/random.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "mimosahub/clock.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -12,7 +12,7 @@
 #include "daemon/rollout_loop.h"
 #include "daemon/snapshot_loop.h"
 #include "daemon/traffic_view.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "logservice/http_log_service.h"
 
 #include <atomic>
--- a/src/daemon/endpoint_call.h
+++ b/src/daemon/endpoint_call.h
@@ -2,7 +2,7 @@
 
 #include "daemon/answer_sink.h"
 #include "daemon/dispatcher.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "request/request_event.h"
 #include "request/sse.h"
 
--- a/src/daemon/endpoint_monitor.h
+++ b/src/daemon/endpoint_monitor.h
@@ -2,7 +2,7 @@
 
 #include "base/metrics.h"
 #include "daemon/call_feedback.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "http/wake_timer.h"
 #include "logservice/log_service.h"
 #include "mimosahub/configuration.h"
--- a/src/daemon/order_loop.h
+++ b/src/daemon/order_loop.h
@@ -3,7 +3,7 @@
 #include "config/settings.h"
 #include "control/order_executor.h"
 #include "daemon/log_loop.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "http/wake_timer.h"
 #include "logservice/log_service.h"
 #include "peer/membership.h"
--- a/src/daemon/request_runner.h
+++ b/src/daemon/request_runner.h
@@ -12,7 +12,7 @@
 #include "daemon/request_metrics.h"
 #include "daemon/stage_call.h"
 #include "daemon/traffic_view.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "request/request_core.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -10,7 +10,7 @@
 #include "gateway/gateway_view.h"
 #include "gateway/stage_work.h"
 #include "gateway/usual_times.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "http/server.h"
 #include "request/retry_budget.h"
 
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -7,7 +7,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
 #include "gateway/relayed_store.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 
 #include <atomic>
 #include <functional>
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -4,7 +4,7 @@
 #include "gateway/call_protocol.h"
 #include "gateway/gateway_view.h"
 #include "gateway/stage_work.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "peer/stage_service.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/src/http/server_test.cc
+++ b/src/http/server_test.cc
@@ -1,5 +1,5 @@
 #include "base/random.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "http/server.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/logservice/http_log_service.h
+++ b/src/logservice/http_log_service.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "logservice/log_service.h"
 
 namespace mimosahub
