State a bound for each short answer, and for an engine's collected text

Load reports, answers to orders, releases and questions for memory were read up to 8 MiB each, though none has more than some hundred bytes; they are read up to 64 KiB. The text of an engine that isn't relayed (own interface) was collected without a bound for as long as events came; above 8 MiB the attempt fails as a short answer.

--- a/src/daemon/endpoint_call.cc
+++ b/src/daemon/endpoint_call.cc
@@ -190,6 +190,10 @@
             co_return;
         }
         done = takeEvents(events, relay != nullptr);
+        if (m_body.size() > kMaxAnswerBytes) {
+            fail(AttemptFailure::ShortAnswer);
+            co_return;
+        }
         if (relay != nullptr) {
             co_await relay->waitForRoom();
         }
--- a/src/daemon/endpoint_monitor.cc
+++ b/src/daemon/endpoint_monitor.cc
@@ -26,6 +26,7 @@
 
 constexpr Duration kPollInterval = std::chrono::milliseconds(500);
 constexpr Duration kPollTimeout = std::chrono::milliseconds(800);
+constexpr std::uint64_t kMaxReportBytes = std::uint64_t(64) << 10U;
 
 absl::StatusOr<Chart> loadChart(const std::string &path, const ChartVocabulary &vocabulary)
 {
@@ -105,7 +106,7 @@
 {
     const auto address = m_entries.at(id).info.address;
     http::Request request(http::beast::http::verb::get, "/load", 11);
-    const auto answer = co_await m_pool.call(address, std::move(request), kPollTimeout);
+    const auto answer = co_await m_pool.call(address, std::move(request), kPollTimeout, kMaxReportBytes);
     const auto it = m_entries.find(id);
     if (it == m_entries.end()) {
         co_return;
--- a/src/daemon/order_loop.cc
+++ b/src/daemon/order_loop.cc
@@ -249,7 +249,8 @@
 
 http::Awaitable<void> OrderLoop::read(EndpointId endpoint, Address address)
 {
-    const auto response = co_await m_pool.call(address, http::Request(verb::get, "/orders/last", 11), kCallTimeout);
+    const auto response =
+        co_await m_pool.call(address, http::Request(verb::get, "/orders/last", 11), kCallTimeout, kMaxOrderAnswerBytes);
     const auto last = readLastOrder(response);
     m_executors[endpoint]->onReadEnded(last.read, last.position, m_clock.now());
     m_timer.wake();
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -19,6 +19,7 @@
 constexpr Duration kLoadLineInterval = std::chrono::seconds(2); ///< Between two lines on one service's load.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(2);
 constexpr Duration kQuestionTimeout = std::chrono::milliseconds(500); ///< For an endpoint's memory.
+constexpr std::uint64_t kMaxShortAnswer = std::uint64_t(64) << 10U; ///< Bytes of an answer to a release or question.
 constexpr std::uint64_t kMaxAnswer = std::uint64_t(4) << 20U; ///< Bytes of a call's answer.
 
 BatchFailure failureOf(const http::ClientConnection &connection)
@@ -333,7 +334,7 @@
 
 http::Awaitable<void> StageRunner::dropAtMaker(Address maker, std::vector<ResultHandle> handles)
 {
-    const auto answer = co_await m_pool.call(maker, m_protocol.writeRelease(handles), kReleaseTimeout);
+    const auto answer = co_await m_pool.call(maker, m_protocol.writeRelease(handles), kReleaseTimeout, kMaxShortAnswer);
     if (!answer.ok()) {
         logEvent(LogLevel::Debug, "release-failed").with(answer.status());
     }
@@ -341,7 +342,8 @@
 
 http::Awaitable<void> StageRunner::ask(ServiceId service, MemoryQuery question)
 {
-    const auto answer = co_await m_pool.call(question.address, m_protocol.writeMemoryQuestion(), kQuestionTimeout);
+    const auto answer =
+        co_await m_pool.call(question.address, m_protocol.writeMemoryQuestion(), kQuestionTimeout, kMaxShortAnswer);
     const auto free = answer.ok() ? m_protocol.readFreeMemory(answer->body()) : answer.status();
     if (!free.ok()) {
         logEvent(LogLevel::Debug, "memory-unknown").with("endpoint", question.endpoint).with(free.status());
