--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -33,6 +33,8 @@
 constexpr int kPatienceFactor = 5; ///< Of the usual time to the first byte.
 constexpr Duration kStall = std::chrono::milliseconds(1500); ///< Longest pause within a stream that may be resumed.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t(8) << 20U;
+constexpr std::uint64_t kMaxRefusalBytes = std::uint64_t(64) << 10U;
+constexpr Duration kRefusalPatience = std::chrono::milliseconds(100); ///< With a refusal's body, which nobody needs.
 constexpr int kMaxForeignAnswers = 2; ///< Late answers to earlier calls that are passed over.
 constexpr int kLeastOfUsual = 2; ///< An answer rarely begins in less than this part of its usual time.
 constexpr int kFirstErrorStatus = 500;
@@ -512,7 +514,7 @@
         }
     }
     if (report.head.notRun) {
-        const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
+        const auto body = co_await connection.readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes);
         report.result = report.head.otherEndpoint ? SendResult::OtherEndpoint : SendResult::Refused;
         if (report.head.inputsGone) {
             report.result = SendResult::InputsGone;
@@ -524,16 +526,16 @@
     if (m_route->streaming && events && report.head.certified) {
         co_return co_await relay(connection, *head, std::move(report));
     }
-    const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
-    if (!body.ok()) {
-        report.why = std::string(body.status().message());
-        co_return report;
-    }
     if (!report.head.certified) {
         report.why = absl::StrCat("an answer with status ", report.head.status, " came without certificate");
         connection.close();
         co_return report;
     }
+    const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
+    if (!body.ok()) {
+        report.why = std::string(body.status().message());
+        co_return report;
+    }
     noteFirstByte();
     report.why = absl::StrCat("status ", report.head.status);
     report.result = report.head.status < kFirstErrorStatus ? SendResult::Answered : SendResult::ServerError;
