--- a/src/http/client.h
+++ b/src/http/client.h
@@ -6,12 +6,10 @@
 
 #include <absl/status/statusor.h>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include <deque>
-#include <map>
-#include <memory>
 #include <optional>
 
 namespace mimosahub::http
@@ -26,7 +24,8 @@
 };
 
 /// One connection to a server. It carries one call at a time; after any error
-/// or timeout it is closed and never used again.
+/// or timeout it is closed and never used again. An answer that exceeds a limit
+/// of its size ends with ResourceExhausted, a late one with DeadlineExceeded.
 class ClientConnection
 {
 public:
@@ -34,16 +33,19 @@
 
     /// Connects within \a timeout.
     Awaitable<absl::Status> connect(Duration timeout);
-    /// Writes \a request. Once it has begun, bytes may have reached the peer.
+    /// Writes \a request and begins a call, which ends within \a timeout: no read
+    /// of its answer goes on after that, whatever that read may take by itself.
+    /// Once it has begun, bytes may have reached the peer.
     Awaitable<absl::Status> send(Request &request, Duration timeout);
-    /// Reads the answer's header.
+    /// Reads the final answer's header; interim ones are passed over.
     Awaitable<absl::StatusOr<Response>> readHeader(Duration timeout);
     /// Reads more of the body: all bytes that have come, at least one, or empty at
     /// the end of the answer.
     Awaitable<absl::StatusOr<std::string>> readSome(Duration timeout);
-    /// Reads the rest of the body, of at most \a maxBytes.
+    /// Reads the rest of the body, of at most \a maxBytes, within \a timeout.
     Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes);
-    /// Sends \a request and reads its whole answer, of at most \a maxBytes of body.
+    /// Sends \a request and reads its whole answer, of at most \a maxBytes of body,
+    /// within \a timeout.
     Awaitable<absl::StatusOr<Response>> call(Request request, Duration timeout, std::uint64_t maxBytes);
     /// Closes at once.
     void close();
@@ -63,60 +65,22 @@
     }
 
 private:
+    /// A point in time of the sockets' clock.
+    using IoTime = asio::steady_timer::time_point;
+
     absl::Status failed(Step step, boost::system::error_code ec);
+    IoTime readUntil(Duration timeout);
+    Awaitable<absl::StatusOr<std::string>> readSomeUntil(IoTime end);
     boost::system::error_code takeBuffered(std::string &data);
 
     Address m_peer;
     SilenceOptions m_silence;
     beast::tcp_stream m_stream;
+    asio::steady_timer m_deadline; ///< Of the call; its expiry is read and never waited for.
     beast::flat_buffer m_buffer;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     bool m_bytesLeft = false;
     bool m_broken = false;
 };
 
-/// Limits of a pool.
-struct PoolOptions {
-    Duration connectTimeout = std::chrono::milliseconds(500);
-    Duration maxIdle = std::chrono::seconds(4); ///< Older idle connections may have gone silent and are dropped.
-    Duration provenAge = std::chrono::milliseconds(500); ///< Idle at most this long counts as proven.
-    std::size_t maxIdlePerPeer = 64;
-    std::uint64_t maxAnswerBytes = std::uint64_t(8) * 1024 * 1024;
-    SilenceOptions silence;
-};
-
-/// Idle connections by peer, for one traffic thread.
-class ConnectionPool
-{
-public:
-    ConnectionPool(asio::io_context &io, const Clock &clock, PoolOptions options);
-
-    /// A connection to \a peer. With \a proven, one that was opened for this call
-    /// or has carried an answer a moment ago: for calls that can't be sent again.
-    Awaitable<absl::StatusOr<std::unique_ptr<ClientConnection>>> acquire(Address peer, bool proven);
-    /// Takes back a connection; it is kept only if its last answer was whole.
-    void release(std::unique_ptr<ClientConnection> connection);
-
-    /// Closes all idle connections.
-    void clear()
-    {
-        m_idle.clear();
-    }
-
-    /// Sends one request and reads its whole answer within \a timeout.
-    Awaitable<absl::StatusOr<Response>> call(Address peer, Request request, Duration timeout);
-
-private:
-    struct Idle {
-        std::unique_ptr<ClientConnection> connection;
-        TimePoint since;
-    };
-    std::unique_ptr<ClientConnection> takeIdle(const Address &peer, Duration maxAge);
-
-    asio::io_context &m_io;
-    const Clock &m_clock;
-    PoolOptions m_options;
-    std::map<Address, std::deque<Idle>> m_idle;
-};
-
 } // namespace mimosahub::http
