--- a/src/config/address.cc
+++ b/src/config/address.cc
@@ -35,6 +35,18 @@
     return Address{host.to_string(), port};
 }
 
+std::optional<Address> parsePeerAddress(std::string_view text)
+{
+    const auto address = parseAddress(text);
+    if (!address || address->port == 0) {
+        return std::nullopt;
+    }
+    const auto host = boost::asio::ip::make_address_v4(address->host);
+    const bool isPeer =
+        !host.is_unspecified() && !host.is_multicast() && host != boost::asio::ip::address_v4::broadcast();
+    return isPeer ? address : std::nullopt;
+}
+
 std::optional<Address> parseHttpUrl(std::string_view text)
 {
     if (!text.starts_with(kScheme)) {
--- a/src/config/address.h
+++ b/src/config/address.h
@@ -12,6 +12,10 @@
 /// must not depend on a resolver.
 [[nodiscard]] std::optional<Address> parseAddress(std::string_view text);
 
+/// Reads "IP:PORT" of a peer to connect to: neither port 0 nor an unspecified,
+/// multicast or broadcast address.
+[[nodiscard]] std::optional<Address> parsePeerAddress(std::string_view text);
+
 /// Reads "http://IP:PORT" without a path.
 [[nodiscard]] std::optional<Address> parseHttpUrl(std::string_view text);
 
