Judge an endpoint's load by its own slots

The last entry of a service set the slots by which the load of all of its endpoints was divided: one odd entry, even one that is leaving, made all seem idle or full. Each endpoint's load is now divided by the slots of its own entry; where all endpoints of a service have the same slots, nothing changes. The new test fails on: with 2 and 200 slots the endpoints got the same load.

--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -67,7 +67,6 @@
     }
     for (const auto &listed : endpoints) {
         auto &service = m_services[listed.info.service];
-        service.slots = listed.slots;
         auto &state = service.endpoints[listed.info.id];
         const bool isNew = state.listed.info.id.empty();
         if (!isNew && state.listed.startedAtMs != listed.startedAtMs) {
@@ -127,7 +126,7 @@
 double EndpointSelector::costOf(const ServiceState &service, const State &state, const EndpointQuery &query,
                                 TimePoint now) const
 {
-    const double load = loadOf(state, now) / std::max(1, service.slots);
+    const double load = loadOf(state, now) / std::max(1, state.listed.slots);
     const double excessErrorRate = std::max(0.0, state.errorRate - service.errorRate - kErrorRateMargin);
     const double zoneCost = state.listed.info.zone == query.zone ? 0.0 : kOtherZoneCost;
     double fetchedBytes = 0.0;
@@ -170,7 +169,7 @@
     State *best = nullptr;
     std::uint64_t bestWeight = 0;
     for (auto *state : candidates) {
-        const bool loaded = state->running + 1 > bound || loadOf(*state, now) >= service.slots;
+        const bool loaded = state->running + 1 > bound || loadOf(*state, now) >= state->listed.slots;
         const bool failing = state->errorRate > service.errorRate + kErrorRateMargin;
         if (loaded || failing || currentLatencyRatio(*state, now) > kSlowLatencyRatio) {
             continue;
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -115,7 +115,6 @@
         EndpointHealth health = EndpointHealth::Healthy;
     };
     struct ServiceState {
-        int slots = 1; ///< Requests that one endpoint runs at once.
         int capacity = 0; ///< Requests that one endpoint accepts, including those that wait; 0 if unknown.
         Duration coldTime{};
         double coldRate = 0.0;
--- a/src/forward/endpoint_selector_test.cc
+++ b/src/forward/endpoint_selector_test.cc
@@ -248,3 +248,24 @@
     const auto full = selector.choose(query(), kStart, random);
     cr_assert(std::get<NoEndpointChosen>(full).reason == Reason::Overloaded);
 }
+
+// The last entry of a service decided how loaded all of its endpoints seemed.
+Test(endpoint_selector, one_entry_with_odd_slots_changes_no_other_endpoint)
+{
+    EndpointSelector selector;
+    const GatewayConfiguration configuration(parts(0));
+    auto odd = endpoint("z");
+    odd.slots = 1'000'000;
+    odd.info.leaving = true;
+    auto small = endpoint("small");
+    small.slots = 2;
+    auto large = endpoint("large");
+    large.slots = 200;
+    selector.setListing({large, odd, small}, configuration, {}, kStart);
+    Random random(7);
+    std::map<std::string, int> sends;
+    for (int i = 0; i < 101; ++i) {
+        ++sends[*chosen(selector, query(), kStart, random)];
+    }
+    cr_assert(sends["small"] >= 1 && sends["small"] <= 2, "%d", sends["small"]);
+}
