Keep the log's lines UTF-8 whatever the store's keys hold

A key of the store may be any bytes. One that isn't UTF-8 made its JSON line unreadable for a parser; such bytes are now replaced.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 
+#include "base/utf8.h"
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -93,7 +94,7 @@
 // JSON's escapes keep a value on its line whatever bytes a caller sent.
 std::string quoted(std::string_view text)
 {
-    return boost::json::serialize(boost::json::string(text));
+    return boost::json::serialize(boost::json::string(validUtf8(text)));
 }
 
 std::string textLine(const LineData &line)
--- a/src/base/log_test.cc
+++ b/src/base/log_test.cc
@@ -93,3 +93,17 @@
         RC_ASSERT(boost::json::parse(line, {}, options).at("ascii").as_string() == ascii);
     }));
 }
+
+// A reader of the log must be able to parse each line, whatever the store's keys hold.
+Test(log, a_value_that_is_not_utf8_leaves_the_line_readable)
+{
+    std::ostringstream out;
+    ManualClock clock;
+    auto output = LogOutput::open(out, LogLevel::Info, LogFormat::Json, clock);
+    logEvent(LogLevel::Warning, "document-unreadable").with("key", "\xff\n\"/");
+    output.reset();
+    boost::json::error_code ec;
+    const auto line = boost::json::parse(out.str(), ec);
+    cr_assert(!ec, "%s", out.str().c_str());
+    cr_assert(line.at("key").as_string() == "\xEF\xBF\xBD\n\"/", "%s", out.str().c_str());
+}
