Log an unreadable document once and skip each one alone

A writer that repeats an odd entry wrote a line at each repetition. A line is now written for each key and reason; the counter still counts all. An exception of one document no longer hides those after it. Compiled; not run yet.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -92,7 +92,7 @@
       m_self(entryOf(settings, clock)),
       m_announceTimer(m_io),
       m_expiryTimer(m_io),
-      m_unreadable(metrics.counter("mimosahub_store_documents_unreadable_total", "Documents that could not be read.")),
+      m_unreadable(metrics),
       m_storeFailures(metrics.counter("mimosahub_store_calls_failed_total", "Calls of the store that failed.")),
       m_version(metrics.gauge("mimosahub_configuration_version", "The configuration in force."))
 {
@@ -131,24 +131,36 @@
 void GatewayControl::tableChanged(StoreTable table, std::vector<KeyedChange> changes, bool complete)
 {
     for (const auto &change : changes) {
-        switch (table) {
-        case StoreTable::OperatorDocuments:
-            takeDocument(change);
-            break;
-        case StoreTable::Endpoints:
-            takeEndpoint(change);
-            break;
-        case StoreTable::Daemons:
-            takeDaemon(change);
-            break;
-        case StoreTable::Status:
-            break;
+        if (!change.value) {
+            m_unreadable.remove(table, change.key);
+        }
+        try {
+            takeChange(table, change);
+        } catch (const std::exception &e) { // One document must not hide those after it.
+            m_unreadable.add(table, change.key, absl::InternalError(e.what()));
         }
     }
     m_endpointsRead = m_endpointsRead || (table == StoreTable::Endpoints && complete);
     publish();
 }
 
+void GatewayControl::takeChange(StoreTable table, const KeyedChange &change)
+{
+    switch (table) {
+    case StoreTable::OperatorDocuments:
+        takeDocument(change);
+        break;
+    case StoreTable::Endpoints:
+        takeEndpoint(change);
+        break;
+    case StoreTable::Daemons:
+        takeDaemon(change);
+        break;
+    case StoreTable::Status:
+        break;
+    }
+}
+
 void GatewayControl::takeDocument(const KeyedChange &change)
 {
     const auto name = m_documents.documentName(change.key);
@@ -166,9 +178,10 @@
     }
     auto configuration = m_documents.configuration(*change.value);
     if (!configuration.ok()) {
-        noteUnreadable(StoreTable::OperatorDocuments, change.key, configuration.status());
+        m_unreadable.add(StoreTable::OperatorDocuments, change.key, configuration.status());
         return;
     }
+    m_unreadable.remove(StoreTable::OperatorDocuments, change.key);
     if (m_configuration && (*configuration)->version() <= m_configuration->version()) {
         return;
     }
@@ -192,10 +205,11 @@
     }
     auto endpoint = m_documents.endpoint(change.key, *change.value);
     if (!endpoint.ok()) {
-        noteUnreadable(StoreTable::Endpoints, change.key, endpoint.status());
+        m_unreadable.add(StoreTable::Endpoints, change.key, endpoint.status());
         m_directory.remove(id, m_clock.now());
         return;
     }
+    m_unreadable.remove(StoreTable::Endpoints, change.key);
     const bool news = known == nullptr || known->info != endpoint->info || known->startedAtMs != endpoint->startedAtMs;
     if (news) {
         logEvent(LogLevel::Info, "endpoint")
@@ -215,9 +229,10 @@
     const InstanceId id(change.key);
     const auto entry = change.value ? readDaemonEntry(change.key, *change.value) : absl::NotFoundError("");
     if (change.value && !entry.ok()) {
-        noteUnreadable(StoreTable::Daemons, change.key, entry.status());
+        m_unreadable.add(StoreTable::Daemons, change.key, entry.status());
     }
     if (entry.ok()) {
+        m_unreadable.remove(StoreTable::Daemons, change.key);
         m_listedDaemons[id] = *entry;
     } else {
         m_listedDaemons.erase(id);
@@ -263,15 +278,6 @@
     });
 }
 
-void GatewayControl::noteUnreadable(StoreTable table, const std::string &key, const absl::Status &status)
-{
-    m_unreadable.add();
-    logEvent(LogLevel::Warning, "document-unreadable")
-        .with("table", storeTableName(table))
-        .with("key", key)
-        .with(status);
-}
-
 void GatewayControl::publish()
 {
     auto view = std::make_shared<GatewayView>();
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
 #include "gateway/relayed_store.h"
+#include "gateway/unreadable_documents.h"
 #include "http/client.h"
 
 #include <atomic>
@@ -62,7 +63,7 @@
     void publish();
     void armExpiry();
     void compareDocuments();
-    void noteUnreadable(StoreTable table, const std::string &key, const absl::Status &status);
+    void takeChange(StoreTable table, const KeyedChange &change);
 
     const Clock &m_clock;
     const DocumentReader &m_documents;
@@ -87,7 +88,7 @@
     bool m_storeLost = false;
     boost::asio::steady_timer m_expiryTimer;
     std::atomic<bool> m_caughtUp{false};
-    Counter &m_unreadable;
+    UnreadableDocuments m_unreadable;
     Counter &m_storeFailures;
     Gauge &m_version;
     std::thread m_thread;
