Let a raised idle limit hold for connections that wait already

Cause: the timer of the wait was set once, as it began. IdleWatch looks at the limit in force when it expires and waits on for the rest of one that was raised. It ends the wait by cancelling the read instead of by Beast's timeout, which closes the socket, and not at all if bytes have come by then. A limit that is lowered holds from the next wait on, as before.

--- a/src/http/kept_connection_test.cc
+++ b/src/http/kept_connection_test.cc
@@ -122,6 +122,36 @@
 
 } // namespace
 
+Test(kept_connection, stays_open_for_the_idle_limit_that_was_raised_while_it_waited)
+{
+    SteppedServer server(1s);
+    KeptCaller caller(server.port());
+    caller.send("/");
+    server.run(kTurn);
+    cr_assert(contains(caller.received(), "whole"));
+    server.setIdleTimeout(10s);
+    server.run(1500ms);
+    caller.send("/");
+    server.run(kTurn);
+    const auto answer = caller.received();
+    cr_assert(answer.starts_with("HTTP/1.1 200") && !caller.closed(), "%s", answer.c_str());
+}
+
+Test(kept_connection, closes_once_it_was_idle_for_the_limit)
+{
+    SteppedServer server(1s);
+    KeptCaller caller(server.port());
+    for (int i = 0; i < 3; ++i) { // Each request begins the limit anew.
+        caller.send("/");
+        server.run(500ms);
+        cr_assert(contains(caller.received(), "whole"));
+        cr_assert_not(caller.closed());
+    }
+    server.run(1500ms);
+    cr_assert(caller.received().empty());
+    cr_assert(caller.closed());
+}
+
 Test(kept_connection, is_said_to_close_by_an_answer_that_begins_after_the_drain)
 {
     SteppedServer server(10s);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -6,6 +6,7 @@
 
 #include "http/server.h"
 
+#include "http/idle_watch.h"
 #include "http/socket_state.h"
 #include "mimosahub/error.h"
 #include "mimosahub/outcome.h"
@@ -279,30 +280,48 @@
     socket.set_option(tcp::no_delay(true), ec);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
-    while (co_await readFirst(stream, buffer, busy)) {
+    const auto idle = std::make_shared<IdleWatch>(stream.socket(), m_options.idleTimeout);
+    bool came = co_await readFirst(stream, buffer);
+    while (came) {
         if (!co_await serveOne(stream, buffer)) {
             break;
         }
         busy.reset();
+        came = co_await readNext(stream, buffer, *idle);
+        if (came) {
+            busy = std::make_unique<BusyMark>(m_counters.busy);
+        }
     }
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
-/// Waits for the first bytes of a request; false if none come.
-Awaitable<bool> Server::readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer,
-                                  std::unique_ptr<BusyMark> &busy)
+/// Waits for the first bytes of a new connection; false if none come.
+Awaitable<bool> Server::readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
-    stream.expires_after(busy ? m_options.messageTimeout : m_options.idleTimeout);
-    if (buffer.size() == 0) {
-        const auto [ec, n] = co_await stream.async_read_some(buffer.prepare(kFirstReadSize), kTuple);
-        if (ec) {
-            co_return false;
-        }
-        buffer.commit(n);
+    stream.expires_after(m_options.messageTimeout);
+    co_return co_await readSome(stream, buffer);
+}
+
+/// Waits for the first bytes of a further request; false if none come.
+Awaitable<bool> Server::readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle)
+{
+    if (buffer.size() > 0) {
+        co_return true;
     }
-    if (!busy) {
-        busy = std::make_unique<BusyMark>(m_counters.busy);
+    stream.expires_never();
+    idle.start();
+    const bool came = co_await readSome(stream, buffer);
+    idle.stop();
+    co_return came;
+}
+
+Awaitable<bool> Server::readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+{
+    const auto [ec, n] = co_await stream.async_read_some(buffer.prepare(kFirstReadSize), kTuple);
+    if (ec) {
+        co_return false;
     }
+    buffer.commit(n);
     co_return true;
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -104,6 +104,8 @@
     std::atomic<std::uint64_t> &m_count;
 };
 
+class IdleWatch;
+
 /// Answers one request. It is cancelled when the caller closes its connection.
 using Handler = std::function<Awaitable<void>(Exchange &)>;
 
@@ -123,7 +125,8 @@
     void stopAccepting();
     /// Ends each connection with the next answer that begins.
     void drain();
-    /// Bounds requests that begin from now on.
+    /// Bounds requests that begin from now on, and the time for which connections that
+    /// are idle already stay open.
     void setLimits(const ServerOptions &options)
     {
         m_options = options;
@@ -140,7 +143,9 @@
     Awaitable<void> acceptLoop();
     void startServing(asio::ip::tcp::socket socket);
     Awaitable<void> serve(asio::ip::tcp::socket socket, std::unique_ptr<BusyMark> busy);
-    Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<BusyMark> &busy);
+    static Awaitable<bool> readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    static Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
     Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
     Awaitable<void> rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec);
 
