Keep a stage's call at a silent endpoint that nothing can replace

A request with stages was refused, or not answered in time, although a healthy endpoint had its pieces in hand: a call was given up after three times its expected time and 0.4 s, its endpoint was paused, the pieces were made again and again, and after four tries the order failed. A healthy endpoint may be silent for a second and go on.

A call may now last until its results are useless. One that takes longer than before is given up only where another endpoint that answers its own calls can still make the pieces in time and the pieces have tries left, or where nobody needs them any more (BatchPlanner::callsToGiveUp).

--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -502,8 +502,13 @@
     for (const auto &piece : running.pieces) {
         call.pieces.push_back(toBatchPiece(piece, now));
     }
-    call.timeout = scaled(running.expected, m_options.timeoutFactor * std::max(1.0, endpoint.latencyRatio))
-        + m_options.timeoutSlack;
+    const auto usual = scaled(running.expected, m_options.overdueFactor * std::max(1.0, endpoint.latencyRatio))
+        + m_options.overdueSlack;
+    running.overdueAt = now + usual;
+    call.timeout = usual;
+    for (const auto &piece : running.pieces) {
+        call.timeout = std::max(call.timeout, Duration(m_orders.at(piece.order).order.expiresAt - now));
+    }
     m_calls.emplace(m_lastCall, std::move(running));
     return call;
 }
@@ -533,6 +538,50 @@
     return calls;
 }
 
+/// Whether an endpoint can get calls that has answered all of its calls in the usual time.
+bool BatchPlanner::hasResponsiveEndpoint(TimePoint now) const
+{
+    std::set<EndpointId> silent;
+    for (const auto &[id, call] : m_calls) {
+        if (now >= call.overdueAt) {
+            silent.insert(call.endpoint);
+        }
+    }
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &entry) {
+        return entry.second.usable && entry.second.pausedUntil <= now && !silent.contains(entry.first);
+    });
+}
+
+bool BatchPlanner::mayGiveUp(const RunningCall &call, bool othersRespond, TimePoint now) const
+{
+    bool needed = false;
+    bool timeLeft = false;
+    for (const auto &piece : call.pieces) {
+        const auto it = m_orders.find(piece.order);
+        if (it == m_orders.end() || now >= it->second.order.expiresAt) {
+            continue;
+        }
+        if (piece.tries + 1 >= m_options.maxTries) {
+            return false;
+        }
+        needed = true;
+        timeLeft = timeLeft || now + m_rule.callTime < it->second.order.expiresAt;
+    }
+    return !needed || (othersRespond && timeLeft);
+}
+
+std::vector<BatchCallId> BatchPlanner::callsToGiveUp(TimePoint now) const
+{
+    std::vector<BatchCallId> ids;
+    const bool othersRespond = hasResponsiveEndpoint(now);
+    for (const auto &[id, call] : m_calls) {
+        if (now >= call.overdueAt && mayGiveUp(call, othersRespond, now)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 std::vector<EndedOrder> BatchPlanner::takeEnded()
 {
     return std::exchange(m_ended, {});
@@ -540,15 +589,18 @@
 
 std::optional<TimePoint> BatchPlanner::nextWakeup(TimePoint now) const
 {
-    if (m_queue.empty()) {
-        return std::nullopt;
-    }
     std::optional<TimePoint> next;
     const auto take = [&](TimePoint at) {
         if (at > now) {
             next = std::min(next.value_or(at), at);
         }
     };
+    for (const auto &[id, call] : m_calls) {
+        take(std::max(call.overdueAt, TimePoint(now + m_options.queueCheckInterval)));
+    }
+    if (m_queue.empty()) {
+        return next;
+    }
     for (const auto &[id, state] : m_endpoints) {
         take(state.pausedUntil);
     }
--- a/src/forward/batch_planner.h
+++ b/src/forward/batch_planner.h
@@ -56,7 +56,7 @@
     BatchCallId id;
     ListedEndpoint endpoint;
     std::vector<BatchPiece> pieces;
-    Duration timeout{}; ///< Longer than any healthy endpoint takes.
+    Duration timeout{}; ///< Until all its results are useless.
 };
 
 /// How a call failed as a whole.
@@ -67,8 +67,8 @@
 };
 
 struct BatchPlannerOptions {
-    double timeoutFactor = 3.0; ///< Timeout of a call, as a multiple of its expected time, without timeoutSlack.
-    Duration timeoutSlack = std::chrono::milliseconds(400); ///< Added to the timeout of each call.
+    double overdueFactor = 3.0; ///< Of the expected time of a call, after which it is overdue, without overdueSlack.
+    Duration overdueSlack = std::chrono::milliseconds(400); ///< Added for each call.
     int maxTries = 4; ///< Calls per piece, not counting those that an endpoint refused.
     Duration refusedPause = std::chrono::milliseconds(40); ///< Pause of an endpoint after it refused a call.
     Duration failedPause = std::chrono::milliseconds(300); ///< After a failed call; doubles with each further one.
@@ -111,6 +111,10 @@
     /// Records the response to \a call; \a results are those of its pieces, in their order.
     void ended(BatchCallId call, const std::vector<PieceResult> &results, TimePoint now);
     void failed(BatchCallId call, BatchFailure failure, TimePoint now);
+    /// Calls in flight that take longer than usual and that are to be given up, since
+    /// another endpoint can make their pieces in time or nobody needs them. An endpoint
+    /// that is silent for a while may be healthy, so other overdue calls go on.
+    [[nodiscard]] std::vector<BatchCallId> callsToGiveUp(TimePoint now) const;
     /// Another planner takes over: ends all orders of which no piece was started, with
     /// PieceOutcome::Moved.
     void handOff();
@@ -168,6 +172,7 @@
         EndpointId endpoint;
         std::vector<QueuedPiece> pieces;
         TimePoint startedAt;
+        TimePoint overdueAt; ///< From then on its endpoint counts as silent.
         Duration expected{};
         std::uint64_t bytes = 0; ///< Memory reserved for its results.
     };
@@ -202,6 +207,8 @@
                                                     TimePoint now);
     [[nodiscard]] BatchCall beginCall(EndpointState &endpoint, RunningCall running, TimePoint now);
     [[nodiscard]] BatchPiece toBatchPiece(const QueuedPiece &piece, TimePoint now) const;
+    [[nodiscard]] bool hasResponsiveEndpoint(TimePoint now) const;
+    [[nodiscard]] bool mayGiveUp(const RunningCall &call, bool othersRespond, TimePoint now) const;
     void finishPiece(const QueuedPiece &piece, const PieceResult &result, const EndpointId &endpoint, TimePoint now);
     void retry(QueuedPiece piece, PieceOutcome outcome);
     void endOrder(PieceOrderId id, PieceOutcome outcome);
--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -430,3 +430,50 @@
     planner.recordFreeMemory(EndpointId("full"), 10); // The predecessor's results have expired.
     cr_assert_eq(planner.takeCalls(kStart + 310ms).size(), 1);
 }
+
+Test(batch_planner, a_silent_endpoint_s_call_goes_on_while_no_other_can_make_its_pieces)
+{
+    BatchPlanner planner(rule(), {});
+    planner.setEndpoints({endpoint("x"), endpoint("y")});
+    planner.add(order("filler", 1));
+    const auto paused = planner.takeCalls(kStart);
+    planner.failed(paused[0].id, BatchFailure::Unreachable, kStart + 2s); // Its endpoint is paused for a while.
+    const auto call = planner.takeCalls(kStart + 2s);
+    cr_assert_eq(call.size(), 1);
+    cr_assert(call[0].timeout == 8s); // Until the order expires.
+    const auto overdue = *planner.nextWakeup(kStart + 2s);
+    cr_assert(overdue > kStart + 2s + 160ms && overdue < kStart + 4s);
+    const auto pauseEnd = kStart + 2s + 300ms;
+    cr_assert(planner.callsToGiveUp(pauseEnd - 1ms).empty());
+    cr_assert(planner.callsToGiveUp(overdue - 1ms).empty());
+    cr_assert(planner.callsToGiveUp(overdue) == std::vector{call[0].id}); // The other endpoint's pause is over.
+    planner.setEndpoints({call[0].endpoint});
+    cr_assert(planner.callsToGiveUp(overdue).empty());
+    cr_assert(*planner.nextWakeup(overdue) <= overdue + 100ms);
+    planner.ended(call[0].id, done(call[0]), overdue + 1s);
+    const auto ended = planner.takeEnded();
+    cr_assert_eq(ended.size(), 1);
+    cr_assert(ended[0].result.outcome == PieceOutcome::Done);
+}
+
+Test(batch_planner, calls_at_endpoints_that_are_all_silent_go_on)
+{
+    BatchPlanner planner(rule(1), {});
+    planner.setEndpoints({endpoint("x"), endpoint("y")});
+    planner.add(order("a", 2));
+    cr_assert_eq(planner.takeCalls(kStart).size(), 2);
+    cr_assert(planner.callsToGiveUp(kStart + 5s).empty());
+    planner.setEndpoints({endpoint("x"), endpoint("y"), endpoint("z")});
+    cr_assert_eq(planner.callsToGiveUp(kStart + 5s).size(), 2);
+}
+
+Test(batch_planner, a_silent_endpoint_s_call_is_given_up_once_nobody_needs_it)
+{
+    BatchPlanner planner(rule(), {});
+    planner.setEndpoints({endpoint("x")});
+    const auto id = planner.add(order("a", 2));
+    const auto calls = planner.takeCalls(kStart);
+    planner.cancel(id);
+    cr_assert(planner.callsToGiveUp(kStart + 100ms).empty());
+    cr_assert(planner.callsToGiveUp(kStart + 2s) == std::vector{calls[0].id});
+}
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -223,6 +223,7 @@
 {
     auto &desk = *deskOf(service);
     desk.pumpPosted = false;
+    giveUpCalls(service, desk);
     for (auto &question : desk.planner.takeMemoryQueries(m_clock.now())) {
         http::spawn(m_io, ask(service, std::move(question)));
     }
@@ -247,6 +248,21 @@
     armTimer(service, desk);
 }
 
+// Their ends come as failures, from run().
+void StageRunner::giveUpCalls(const ServiceId &service, Desk &desk)
+{
+    for (const auto id : desk.planner.callsToGiveUp(m_clock.now())) {
+        const auto connection = desk.connections.extract(id);
+        if (connection.empty()) {
+            continue;
+        }
+        logEvent(LogLevel::Info, "stage-call-given-up")
+            .with("service", service)
+            .with("peer", connection.mapped()->peer().str());
+        connection.mapped()->close();
+    }
+}
+
 // On-call engineers see from these lines why orders waited or were refused, and
 // by whom they were planned.
 void StageRunner::logLoad(const ServiceId &service, Desk &desk)
@@ -289,8 +305,11 @@
         failed(service, call, BatchFailure::Unreachable, connection.status());
         co_return;
     }
+    auto &connections = deskOf(service)->connections;
+    connections[call.id] = connection->get();
     const auto answer = co_await (*connection)
                             ->call(m_protocol.writeBatch(call.endpoint.info.id, call.pieces), call.timeout, kMaxAnswer);
+    connections.erase(call.id);
     if (!answer.ok()) {
         failed(service, call, failureOf(**connection), answer.status());
         co_return;
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -46,6 +46,7 @@
         }
         BatchPlanner planner;
         std::map<PieceOrderId, Done> waiting;
+        std::map<BatchCallId, http::ClientConnection *> connections; ///< Of the calls in flight.
         boost::asio::steady_timer timer;
         bool pumpPosted = false;
         int refused = 0; ///< Orders not done since the last line on the load.
@@ -55,6 +56,7 @@
     Desk *deskOf(const ServiceId &service);
     void schedule(const ServiceId &service);
     void pump(const ServiceId &service);
+    void giveUpCalls(const ServiceId &service, Desk &desk);
     void logLoad(const ServiceId &service, Desk &desk);
     void armTimer(const ServiceId &service, Desk &desk);
     http::Awaitable<void> run(ServiceId service, BatchCall call);
