Free no slot of a restarted endpoint by a call made before its restart

The planner forgot the running calls of an endpoint that restarted under its id, but counted their ends against the new one: it got more calls than it has slots, and refused or delayed them; a count below zero kept it in the planner for good.

A call now belongs to the start of the endpoint that it was sent to.

--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -49,7 +49,7 @@
     }
     for (const auto &listed : endpoints) {
         auto &state = m_endpoints[listed.info.id];
-        if (state.listed.startedAtMs != listed.startedAtMs && state.listed.startedAtMs != 0) {
+        if (state.listed.startedAtMs != listed.startedAtMs) {
             state = EndpointState(); // After a restart it holds no earlier results.
             m_memory.remove(listed.info.id);
         }
@@ -105,15 +105,14 @@
         return;
     }
     const auto &running = node.mapped();
-    if (const auto it = m_endpoints.find(running.endpoint); it != m_endpoints.end()) {
-        auto &endpoint = it->second;
-        --endpoint.running;
-        endpoint.failures = 0;
+    if (auto *endpoint = endpointOf(running)) {
+        --endpoint->running;
+        endpoint->failures = 0;
         m_memory.unreserve(running.endpoint, running.bytes);
         const auto ratio = std::chrono::duration<double>(now - running.startedAt)
             / std::max<std::chrono::duration<double>>(running.expected, std::chrono::milliseconds(1));
-        endpoint.latencyRatio += m_options.latencyRatioWeight * (ratio - endpoint.latencyRatio);
-        updateHealth(endpoint, now);
+        endpoint->latencyRatio += m_options.latencyRatioWeight * (ratio - endpoint->latencyRatio);
+        updateHealth(*endpoint, now);
     }
     for (std::size_t i = 0; i < running.pieces.size() && i < results.size(); ++i) {
         finishPiece(running.pieces[i], results[i], running.endpoint, now);
@@ -163,14 +162,13 @@
         return;
     }
     const auto &running = node.mapped();
-    if (const auto it = m_endpoints.find(running.endpoint); it != m_endpoints.end()) {
-        auto &endpoint = it->second;
-        --endpoint.running;
+    if (auto *endpoint = endpointOf(running)) {
+        --endpoint->running;
         m_memory.unreserve(running.endpoint, running.bytes);
         if (failure == BatchFailure::NotRun) {
-            endpoint.pausedUntil = std::max(endpoint.pausedUntil, now + m_options.refusedPause);
+            endpoint->pausedUntil = std::max(endpoint->pausedUntil, now + m_options.refusedPause);
         } else {
-            pause(endpoint, now);
+            pause(*endpoint, now);
         }
     }
     for (const auto &piece : running.pieces) {
@@ -182,6 +180,14 @@
     }
 }
 
+/// The endpoint that has \a call; null if it is gone or has restarted since.
+BatchPlanner::EndpointState *BatchPlanner::endpointOf(const RunningCall &call)
+{
+    const auto it = m_endpoints.find(call.endpoint);
+    const bool known = it != m_endpoints.end() && it->second.listed.startedAtMs == call.endpointStartedAtMs;
+    return known ? &it->second : nullptr;
+}
+
 void BatchPlanner::pause(EndpointState &endpoint, TimePoint now)
 {
     constexpr int kMaxDoublings = 4;
@@ -491,6 +497,7 @@
 {
     m_lastCall = m_lastCall.next();
     running.endpoint = endpoint.listed.info.id;
+    running.endpointStartedAtMs = endpoint.listed.startedAtMs;
     running.startedAt = now;
     running.expected = expectedTime(running.pieces.size());
     ++endpoint.running;
--- a/src/forward/batch_planner.h
+++ b/src/forward/batch_planner.h
@@ -170,6 +170,7 @@
     };
     struct RunningCall {
         EndpointId endpoint;
+        std::int64_t endpointStartedAtMs = 0;
         std::vector<QueuedPiece> pieces;
         TimePoint startedAt;
         TimePoint overdueAt; ///< From then on its endpoint counts as silent.
@@ -212,6 +213,7 @@
     void finishPiece(const QueuedPiece &piece, const PieceResult &result, const EndpointId &endpoint, TimePoint now);
     void retry(QueuedPiece piece, PieceOutcome outcome);
     void endOrder(PieceOrderId id, PieceOutcome outcome);
+    [[nodiscard]] EndpointState *endpointOf(const RunningCall &call);
     void pause(EndpointState &endpoint, TimePoint now);
     void updateHealth(EndpointState &endpoint, TimePoint now);
 
--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -431,6 +431,23 @@
     cr_assert_eq(planner.takeCalls(kStart + 310ms).size(), 1);
 }
 
+// Counts calls of two restarts of one endpoint.
+Test(batch_planner, a_call_of_an_endpoint_before_its_restart_frees_no_slot_after_it)
+{
+    BatchPlanner planner(rule(), {});
+    auto it = endpoint("x");
+    planner.setEndpoints({it});
+    planner.add(order("a", 1));
+    const auto before = planner.takeCalls(kStart);
+    it.startedAtMs = 2;
+    planner.setEndpoints({it});
+    planner.add(order("b", 1));
+    cr_assert_eq(planner.takeCalls(kStart + 10ms).size(), 1);
+    planner.failed(before[0].id, BatchFailure::Lost, kStart + 20ms);
+    planner.add(order("c", 1));
+    cr_assert(planner.takeCalls(kStart + 1s).empty()); // Its one slot is busy.
+}
+
 Test(batch_planner, a_silent_endpoint_s_call_goes_on_while_no_other_can_make_its_pieces)
 {
     BatchPlanner planner(rule(), {});
