Keep what second sends have used across hang-ups and views

Each SIGHUP cleared the budgets of second sends, so that each service got a full burst anew, and a budget that was made before the other daemons were read kept the share of a deployment of one daemon for good. Failing endpoints got many more sends than the deployment's bound.

New limits now apply to the budgets that exist; what was taken stays taken.

--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -118,7 +118,6 @@
 {
     boost::asio::post(*m_io, [this, settings] {
         m_secondSendSettings = settings;
-        m_secondSends.clear();
         takeView();
     });
 }
@@ -157,12 +156,20 @@
     }
     m_selector.setDaemons(static_cast<int>(daemons), static_cast<int>(rank));
     m_selector.setListing(view->endpoints, *view->configuration, view->closedZones, m_shared.clock.now());
-    m_context->secondSendOptions = secondSendOptions(m_secondSendSettings, daemons);
+    boundSecondSends(daemons);
     m_stages.setView(*view);
     m_router->setDaemons(view->daemons);
     m_server->setLimits(serverOptions(view->configuration->parts().limits));
 }
 
+void GatewayTraffic::boundSecondSends(std::size_t daemons)
+{
+    m_context->secondSendOptions = secondSendOptions(m_secondSendSettings, daemons);
+    for (auto &[service, budget] : m_secondSends) {
+        budget.setOptions(m_context->secondSendOptions, m_shared.clock.now());
+    }
+}
+
 http::Awaitable<void> GatewayTraffic::handle(http::Exchange &exchange)
 {
     ForwardedRequest request(*m_context, exchange);
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -57,6 +57,7 @@
     http::Awaitable<void> handle(http::Exchange &exchange);
     void makeContext();
     void takeView();
+    void boundSecondSends(std::size_t daemons);
 
     const GatewayShared m_shared;
     std::unique_ptr<boost::asio::io_context> m_io;
--- a/src/request/policies_test.cc
+++ b/src/request/policies_test.cc
@@ -120,6 +120,21 @@
     }));
 }
 
+Test(retry_budget, gives_no_tokens_for_new_limits)
+{
+    RetryBudget budget({0.0, 1.0, 5});
+    auto now = kStart;
+    for (int i = 0; i < 5; ++i) {
+        cr_assert(budget.tryTake(now));
+    }
+    budget.setOptions({0.0, 1.0, 10}, now);
+    cr_assert_not(budget.tryTake(now));
+    now += 3s;
+    budget.setOptions({0.0, 0.0, 2}, now); // What time brought until now stays, up to the new burst.
+    cr_assert(budget.tryTake(now) && budget.tryTake(now));
+    cr_assert_not(budget.tryTake(now + 3600s));
+}
+
 Test(backoff, grows_to_its_cap_within_the_jitter)
 {
     cr_assert(rc::check([](std::uint64_t seed) {
--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -12,6 +12,13 @@
 {
 }
 
+void RetryBudget::setOptions(const RetryBudgetOptions &options, TimePoint now)
+{
+    m_tokens = std::min(options.burst, tokensAt(now));
+    m_filledAt = m_filledAt ? std::max(*m_filledAt, now) : m_filledAt;
+    m_options = options;
+}
+
 void RetryBudget::deposit()
 {
     m_tokens = std::min(m_options.burst, m_tokens + m_options.fraction);
--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -22,6 +22,8 @@
 public:
     explicit RetryBudget(const RetryBudgetOptions &options = {});
 
+    /// Replaces the limits; what was taken already still counts.
+    void setOptions(const RetryBudgetOptions &options, TimePoint now);
     /// Counts a first attempt.
     void deposit();
     /// Whether tryTake() would succeed.
