Follow the endpoints of a service that left the configuration

Orders of requests in flight, and of daemons that read a configuration later, still come for a service that the newest one has lost; its planner kept the endpoints of the moment and could call ones that are leaving or gone.

stage_runner, a_service_that_left_the_configuration_gets_no_calls_at_endpoints_that_are_gone is new; it wasn't run on the code before, where setView() passes such services over.

--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -127,8 +127,11 @@
             desk = std::make_unique<Desk>(m_io, *rule.batch);
         }
         desk->planner.setRule(*rule.batch);
-        desk->planner.setEndpoints(endpoints[rule.id]);
-        schedule(rule.id);
+    }
+    // Requests in flight and other daemons may still need a service that the configuration has lost.
+    for (auto &[service, desk] : m_desks) {
+        desk->planner.setEndpoints(endpoints[service]);
+        schedule(service);
     }
 }
 
