--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -49,7 +49,7 @@
     }
     for (const auto &listed : endpoints) {
         auto &state = m_endpoints[listed.info.id];
-        if (state.listed.startedAtMs != listed.startedAtMs && state.listed.startedAtMs != 0) {
+        if (state.listed.startedAtMs != listed.startedAtMs) {
             state = EndpointState(); // After a restart it holds no earlier results.
             m_memory.remove(listed.info.id);
         }
@@ -105,15 +105,14 @@
         return;
     }
     const auto &running = node.mapped();
-    if (const auto it = m_endpoints.find(running.endpoint); it != m_endpoints.end()) {
-        auto &endpoint = it->second;
-        --endpoint.running;
-        endpoint.failures = 0;
+    if (auto *endpoint = endpointOf(running)) {
+        --endpoint->running;
+        endpoint->failures = 0;
         m_memory.unreserve(running.endpoint, running.bytes);
         const auto ratio = std::chrono::duration<double>(now - running.startedAt)
             / std::max<std::chrono::duration<double>>(running.expected, std::chrono::milliseconds(1));
-        endpoint.latencyRatio += m_options.latencyRatioWeight * (ratio - endpoint.latencyRatio);
-        updateHealth(endpoint, now);
+        endpoint->latencyRatio += m_options.latencyRatioWeight * (ratio - endpoint->latencyRatio);
+        updateHealth(*endpoint, now);
     }
     for (std::size_t i = 0; i < running.pieces.size() && i < results.size(); ++i) {
         finishPiece(running.pieces[i], results[i], running.endpoint, now);
@@ -163,14 +162,13 @@
         return;
     }
     const auto &running = node.mapped();
-    if (const auto it = m_endpoints.find(running.endpoint); it != m_endpoints.end()) {
-        auto &endpoint = it->second;
-        --endpoint.running;
+    if (auto *endpoint = endpointOf(running)) {
+        --endpoint->running;
         m_memory.unreserve(running.endpoint, running.bytes);
         if (failure == BatchFailure::NotRun) {
-            endpoint.pausedUntil = std::max(endpoint.pausedUntil, now + m_options.refusedPause);
+            endpoint->pausedUntil = std::max(endpoint->pausedUntil, now + m_options.refusedPause);
         } else {
-            pause(endpoint, now);
+            pause(*endpoint, now);
         }
     }
     for (const auto &piece : running.pieces) {
@@ -182,6 +180,14 @@
     }
 }
 
+/// The endpoint that has \a call; null if it is gone or has restarted since.
+BatchPlanner::EndpointState *BatchPlanner::endpointOf(const RunningCall &call)
+{
+    const auto it = m_endpoints.find(call.endpoint);
+    const bool known = it != m_endpoints.end() && it->second.listed.startedAtMs == call.endpointStartedAtMs;
+    return known ? &it->second : nullptr;
+}
+
 void BatchPlanner::pause(EndpointState &endpoint, TimePoint now)
 {
     constexpr int kMaxDoublings = 4;
@@ -491,6 +497,7 @@
 {
     m_lastCall = m_lastCall.next();
     running.endpoint = endpoint.listed.info.id;
+    running.endpointStartedAtMs = endpoint.listed.startedAtMs;
     running.startedAt = now;
     running.expected = expectedTime(running.pieces.size());
     ++endpoint.running;
@@ -502,8 +509,13 @@
     for (const auto &piece : running.pieces) {
         call.pieces.push_back(toBatchPiece(piece, now));
     }
-    call.timeout = scaled(running.expected, m_options.timeoutFactor * std::max(1.0, endpoint.latencyRatio))
-        + m_options.timeoutSlack;
+    const auto usual = scaled(running.expected, m_options.overdueFactor * std::max(1.0, endpoint.latencyRatio))
+        + m_options.overdueSlack;
+    running.overdueAt = now + usual;
+    call.timeout = usual;
+    for (const auto &piece : running.pieces) {
+        call.timeout = std::max(call.timeout, Duration(m_orders.at(piece.order).order.expiresAt - now));
+    }
     m_calls.emplace(m_lastCall, std::move(running));
     return call;
 }
@@ -533,6 +545,50 @@
     return calls;
 }
 
+/// Whether an endpoint can get calls that has answered all of its calls in the usual time.
+bool BatchPlanner::hasResponsiveEndpoint(TimePoint now) const
+{
+    std::set<EndpointId> silent;
+    for (const auto &[id, call] : m_calls) {
+        if (now >= call.overdueAt) {
+            silent.insert(call.endpoint);
+        }
+    }
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &entry) {
+        return entry.second.usable && entry.second.pausedUntil <= now && !silent.contains(entry.first);
+    });
+}
+
+bool BatchPlanner::mayGiveUp(const RunningCall &call, bool othersRespond, TimePoint now) const
+{
+    bool needed = false;
+    bool timeLeft = false;
+    for (const auto &piece : call.pieces) {
+        const auto it = m_orders.find(piece.order);
+        if (it == m_orders.end() || now >= it->second.order.expiresAt) {
+            continue;
+        }
+        if (piece.tries + 1 >= m_options.maxTries) {
+            return false;
+        }
+        needed = true;
+        timeLeft = timeLeft || now + m_rule.callTime < it->second.order.expiresAt;
+    }
+    return !needed || (othersRespond && timeLeft);
+}
+
+std::vector<BatchCallId> BatchPlanner::callsToGiveUp(TimePoint now) const
+{
+    std::vector<BatchCallId> ids;
+    const bool othersRespond = hasResponsiveEndpoint(now);
+    for (const auto &[id, call] : m_calls) {
+        if (now >= call.overdueAt && mayGiveUp(call, othersRespond, now)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 std::vector<EndedOrder> BatchPlanner::takeEnded()
 {
     return std::exchange(m_ended, {});
@@ -540,15 +596,18 @@
 
 std::optional<TimePoint> BatchPlanner::nextWakeup(TimePoint now) const
 {
-    if (m_queue.empty()) {
-        return std::nullopt;
-    }
     std::optional<TimePoint> next;
     const auto take = [&](TimePoint at) {
         if (at > now) {
             next = std::min(next.value_or(at), at);
         }
     };
+    for (const auto &[id, call] : m_calls) {
+        take(std::max(call.overdueAt, TimePoint(now + m_options.queueCheckInterval)));
+    }
+    if (m_queue.empty()) {
+        return next;
+    }
     for (const auto &[id, state] : m_endpoints) {
         take(state.pausedUntil);
     }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -6,6 +6,7 @@
 
 #include "http/server.h"
 
+#include "http/idle_watch.h"
 #include "http/socket_state.h"
 #include "mimosahub/error.h"
 #include "mimosahub/outcome.h"
@@ -120,11 +121,22 @@
 
 } // namespace
 
-Exchange::Exchange(beast::tcp_stream &stream, Request request, Duration writeTimeout)
-    : m_stream(stream), m_request(std::move(request)), m_writeTimeout(writeTimeout), m_keepAlive(m_request.keep_alive())
+Exchange::Exchange(beast::tcp_stream &stream, Request request, Duration writeTimeout, const std::atomic<bool> &draining)
+    : m_stream(stream),
+      m_request(std::move(request)),
+      m_writeTimeout(writeTimeout),
+      m_draining(draining),
+      m_keepAlive(m_request.keep_alive())
 {
 }
 
+/// A caller may send its next request where an answer says that the connection is kept.
+void Exchange::beginAnswer()
+{
+    m_answered = true;
+    m_keepAlive = m_keepAlive && !m_draining;
+}
+
 absl::Status Exchange::checkWrite(boost::system::error_code ec)
 {
     if (!ec) {
@@ -136,7 +148,7 @@
 
 Awaitable<absl::Status> Exchange::respond(Response response)
 {
-    m_answered = true;
+    beginAnswer();
     response.keep_alive(m_keepAlive);
     response.prepare_payload();
     m_stream.expires_after(m_writeTimeout);
@@ -151,7 +163,7 @@
 
 Awaitable<absl::Status> Exchange::startStream(Response header)
 {
-    m_answered = true;
+    beginAnswer();
     beast::http::response<beast::http::empty_body> head(header.base());
     head.keep_alive(m_keepAlive);
     head.chunked(true);
@@ -271,30 +283,48 @@
     socket.set_option(tcp::no_delay(true), ec);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
-    while (co_await readFirst(stream, buffer, busy)) {
+    const auto idle = std::make_shared<IdleWatch>(stream.socket(), m_options.idleTimeout);
+    bool came = co_await readFirst(stream, buffer);
+    while (came) {
         if (!co_await serveOne(stream, buffer)) {
             break;
         }
         busy.reset();
+        came = co_await readNext(stream, buffer, *idle);
+        if (came) {
+            busy = std::make_unique<BusyMark>(m_counters.busy);
+        }
     }
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
-/// Waits for the first bytes of a request; false if none come.
-Awaitable<bool> Server::readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer,
-                                  std::unique_ptr<BusyMark> &busy)
+/// Waits for the first bytes of a new connection; false if none come.
+Awaitable<bool> Server::readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
-    stream.expires_after(busy ? m_options.messageTimeout : m_options.idleTimeout);
-    if (buffer.size() == 0) {
-        const auto [ec, n] = co_await stream.async_read_some(buffer.prepare(kFirstReadSize), kTuple);
-        if (ec) {
-            co_return false;
-        }
-        buffer.commit(n);
+    stream.expires_after(m_options.messageTimeout);
+    co_return co_await readSome(stream, buffer);
+}
+
+/// Waits for the first bytes of a further request; false if none come.
+Awaitable<bool> Server::readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle)
+{
+    if (buffer.size() > 0) {
+        co_return true;
     }
-    if (!busy) {
-        busy = std::make_unique<BusyMark>(m_counters.busy);
+    stream.expires_never();
+    idle.start();
+    const bool came = co_await readSome(stream, buffer);
+    idle.stop();
+    co_return came;
+}
+
+Awaitable<bool> Server::readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+{
+    const auto [ec, n] = co_await stream.async_read_some(buffer.prepare(kFirstReadSize), kTuple);
+    if (ec) {
+        co_return false;
     }
+    buffer.commit(n);
     co_return true;
 }
 
@@ -318,12 +348,9 @@
         co_return false;
     }
     stream.expires_never();
-    Exchange exchange(stream, parser.release(), m_options.messageTimeout);
-    if (m_draining) {
-        exchange.closeAfterwards();
-    }
+    Exchange exchange(stream, parser.release(), m_options.messageTimeout, m_draining);
     co_await (runHandler(m_handler, exchange) || waitForClose(stream));
-    co_return exchange.answered() && exchange.keepAlive() && !m_draining;
+    co_return exchange.answered() && exchange.keepAlive();
 }
 
 /// Answers a request that could not be read, if the caller may still be there.
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,7 +40,8 @@
 class Exchange
 {
 public:
-    Exchange(beast::tcp_stream &stream, Request request, Duration writeTimeout);
+    /// \a draining tells whether the server drains; it must outlive the exchange.
+    Exchange(beast::tcp_stream &stream, Request request, Duration writeTimeout, const std::atomic<bool> &draining);
 
     [[nodiscard]] const Request &request() const
     {
@@ -74,10 +75,12 @@
 
 private:
     absl::Status checkWrite(boost::system::error_code ec);
+    void beginAnswer();
 
     beast::tcp_stream &m_stream;
     Request m_request;
     Duration m_writeTimeout;
+    const std::atomic<bool> &m_draining;
     bool m_answered = false;
     bool m_keepAlive = true;
 };
@@ -101,6 +104,8 @@
     std::atomic<std::uint64_t> &m_count;
 };
 
+class IdleWatch;
+
 /// Answers one request. It is cancelled when the caller closes its connection.
 using Handler = std::function<Awaitable<void>(Exchange &)>;
 
@@ -118,9 +123,10 @@
     /// Stops accepting, after taking what has connected already; open connections
     /// go on until their request is answered.
     void stopAccepting();
-    /// Ends each connection with its next answer.
+    /// Ends each connection with the next answer that begins.
     void drain();
-    /// Bounds requests that begin from now on.
+    /// Bounds requests that begin from now on, and the time for which connections that
+    /// are idle already stay open.
     void setLimits(const ServerOptions &options)
     {
         m_options = options;
@@ -137,7 +143,9 @@
     Awaitable<void> acceptLoop();
     void startServing(asio::ip::tcp::socket socket);
     Awaitable<void> serve(asio::ip::tcp::socket socket, std::unique_ptr<BusyMark> busy);
-    Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<BusyMark> &busy);
+    static Awaitable<bool> readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    static Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
     Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
     Awaitable<void> rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec);
 
