Say how a stream was cut at its caller and why nothing replaced it

The request's line now says whether the caller's stream was cut after it had begun, how the last endpoint's answer was lost and what stood against another send; mimosahub_streams_cut_total counts by both. An exception of a handler gets a line of its own (handler-failed) and a count, and is no longer logged as "caller-left". No logic changes.

--- a/src/gateway/forward_metrics.cc
+++ b/src/gateway/forward_metrics.cc
@@ -49,6 +49,15 @@
     }
 }
 
+void ForwardMetrics::recordStreamCut(SendLoss loss, RetryObstacle obstacle)
+{
+    m_registry
+        .counter("mimosahub_streams_cut_total",
+                 "Streams cut at the caller after they had begun, by what was lost and the obstacle to a second send.",
+                 {{"loss", std::string(sendLossName(loss))}, {"obstacle", std::string(retryObstacleName(obstacle))}})
+        .add();
+}
+
 ForwardMetrics::RouteMetrics &ForwardMetrics::ofRoute(const RouteId &route)
 {
     const auto label = labelOf(m_routes, route.str(), kMostRoutes);
--- a/src/gateway/forward_metrics.h
+++ b/src/gateway/forward_metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/metrics.h"
 #include "forward/gateway_configuration.h"
+#include "forward/retry_obstacle.h"
 #include "mimosahub/clock.h"
 #include "mimosahub/ids.h"
 
@@ -34,6 +35,8 @@
     }
 
     void record(const ForwardedEnd &end);
+    /// A stream was cut at its caller after it had begun. \a obstacle: to sending the request again.
+    void recordStreamCut(SendLoss loss, RetryObstacle obstacle);
 
 private:
     struct RouteMetrics {
--- a/src/gateway/forward_metrics_test.cc
+++ b/src/gateway/forward_metrics_test.cc
@@ -36,6 +36,20 @@
     cr_assert(page.find("mimosahub_forwarded_workspace_seconds_count{workspace=\"desk\"} 2") != std::string::npos);
 }
 
+Test(forward_metrics, counts_streams_that_were_cut_by_loss_and_obstacle)
+{
+    MetricRegistry registry;
+    ForwardMetrics metrics(registry);
+    metrics.recordStreamCut(SendLoss::Silence, RetryObstacle::NoBudget);
+    metrics.recordStreamCut(SendLoss::Silence, RetryObstacle::NoBudget);
+    metrics.recordStreamCut(SendLoss::BrokenOff, RetryObstacle::NoEndpoint);
+    const auto page = registry.render();
+    cr_assert(page.find("mimosahub_streams_cut_total{loss=\"silence\",obstacle=\"no-budget\"} 2") != std::string::npos,
+              "%s", page.c_str());
+    cr_assert(page.find("mimosahub_streams_cut_total{loss=\"broken-off\",obstacle=\"no-endpoint\"} 1")
+              != std::string::npos);
+}
+
 // Thousands of routes and workspaces make neither the page nor the memory grow.
 Test(forward_metrics, stays_bounded_with_thousands_of_routes_and_workspaces)
 {
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -114,6 +114,15 @@
     co_await forward();
 }
 
+void ForwardedRequest::fail(std::string_view what)
+{
+    m_loss = SendLoss::InternalError;
+    if (m_streamBegun) {
+        noteStreamCut();
+    }
+    logEnd("failed", what);
+}
+
 std::optional<Refusal> ForwardedRequest::resolve()
 {
     auto call = m_context.protocol.readCall(m_exchange.request());
@@ -346,10 +355,13 @@
 bool ForwardedRequest::mayRetry()
 {
     if (left() < kMinSendTime) {
+        m_obstacle = RetryObstacle::NoTime;
         return false;
     }
     auto &budget = m_context.secondSends.try_emplace(m_service, m_context.secondSendOptions).first->second;
-    return budget.tryTake(m_context.clock.now());
+    const bool taken = budget.tryTake(m_context.clock.now());
+    m_obstacle = taken ? RetryObstacle::None : RetryObstacle::NoBudget;
+    return taken;
 }
 
 http::Awaitable<void> ForwardedRequest::forward()
@@ -361,6 +373,7 @@
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
             auto refusal =
                 makeRefusal(none->reason, "no endpoint may take the request", Step::Choose, none->retryAfter);
+            m_obstacle = RetryObstacle::NoEndpoint;
             refusal.outcome = m_policy.outcome();
             co_await refuse(std::move(refusal));
             co_return;
@@ -370,6 +383,7 @@
         m_tried.push_back(m_endpoint);
         auto report = co_await sendOnce(endpoint, asked);
         const bool final = report.result == SendResult::Answered;
+        m_loss = report.loss;
         switch (m_policy.after(report.result, !final && mayRetry())) {
         case NextStep::PassOn:
             if (m_streamBegun && report.result != SendResult::Answered) {
@@ -394,6 +408,9 @@
                 .with("why", std::string_view(report.why));
             break;
         case NextStep::GiveUp:
+            if (m_obstacle == RetryObstacle::None) {
+                m_obstacle = m_route->repeatable() ? RetryObstacle::AttemptsUsed : RetryObstacle::NotRepeatable;
+            }
             co_await refuse(refusalAfter(report));
             co_return;
         }
@@ -560,6 +577,7 @@
                                            : left();
         const auto data = co_await connection.readSome(patience);
         if (!data.ok()) {
+            report.loss = absl::IsDeadlineExceeded(data.status()) ? SendLoss::Silence : SendLoss::BrokenOff;
             report.why = absl::StrCat("the stream broke after ", m_events.events(),
                                       " events: ", std::string(data.status().message()));
             co_return report;
@@ -570,6 +588,7 @@
             m_tickets.clear();
         }
         if (!whole.empty() && !co_await passOn(whole, head)) {
+            report.loss = SendLoss::CallerGone;
             report.why = "the caller doesn't read";
             co_return report;
         }
@@ -578,6 +597,7 @@
         }
     }
     if (!m_events.rest().empty()) {
+        report.loss = SendLoss::BrokenOff;
         report.why = "the stream ended within an event";
         connection.close();
         co_return report;
@@ -606,6 +626,9 @@
 
 http::Awaitable<void> ForwardedRequest::refuse(Refusal refusal)
 {
+    if (m_streamBegun) {
+        noteStreamCut();
+    }
     logEnd(outcomeName(refusal.outcome), absl::StrCat(std::string(reasonName(refusal.reason)), ": ", refusal.detail));
     if (m_streamBegun) {
         // The caller sees that the stream broke, since it has no end.
@@ -615,6 +638,12 @@
     co_await m_exchange.answer(m_context.protocol.refusalResponse(refusal, m_call.id));
 }
 
+void ForwardedRequest::noteStreamCut()
+{
+    m_streamCut = true;
+    m_context.metrics.recordStreamCut(m_loss, m_obstacle);
+}
+
 void ForwardedRequest::logEnd(std::string_view outcome, std::string_view detail)
 {
     m_logged = true;
@@ -635,6 +664,9 @@
         .with("stages", m_stageTime)
         .with("first", m_firstByte.value_or(Duration::zero()))
         .with("sends", m_policy.sends())
+        .with("cut", m_streamCut)
+        .with("loss", sendLossName(m_loss))
+        .with("obstacle", retryObstacleName(m_obstacle))
         .with("endpoint", m_endpoint);
 }
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "forward/endpoint_selector.h"
 #include "forward/event_splitter.h"
+#include "forward/retry_obstacle.h"
 #include "forward/send_policy.h"
 #include "forward/stage_graph.h"
 #include "gateway/call_protocol.h"
@@ -66,6 +67,8 @@
 
     /// Serves the request to its end.
     http::Awaitable<void> run();
+    /// Records that run() ended by an exception, described by \a what.
+    void fail(std::string_view what);
     /// The daemon ends: gives the request up now.
     void cutShort();
 
@@ -83,6 +86,7 @@
         EndpointHead head;
         std::optional<http::Response> answer; ///< A whole answer that was read.
         std::string why; ///< For the log.
+        SendLoss loss = SendLoss::None; ///< Of a result Lost.
     };
 
     [[nodiscard]] std::optional<Refusal> resolve();
@@ -109,6 +113,7 @@
     [[nodiscard]] EndpointQuery query() const;
     [[nodiscard]] ForwardOptions options(const EndpointId &endpoint) const;
     void noteFirstByte();
+    void noteStreamCut();
     void logEnd(std::string_view outcome, std::string_view detail);
 
     ForwardContext &m_context;
@@ -135,6 +140,9 @@
     std::vector<EndpointId> m_tried;
     EventSplitter m_events;
     bool m_streamBegun = false; ///< The caller has got the header of a stream.
+    bool m_streamCut = false; ///< The stream ends before its end.
+    SendLoss m_loss = SendLoss::None; ///< Of the last send.
+    RetryObstacle m_obstacle = RetryObstacle::None; ///< To the last send that was wanted.
     std::optional<Duration> m_firstByte; ///< From the send to the answer or its first event.
     TimePoint m_sentAt;
     EndpointId m_endpoint; ///< Of the last send.
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -166,7 +166,14 @@
 http::Awaitable<void> GatewayTraffic::handle(http::Exchange &exchange)
 {
     ForwardedRequest request(*m_context, exchange);
-    co_await request.run();
+    try {
+        co_await request.run();
+    } catch (const std::exception &error) {
+        if (!http::isCancellation(error)) {
+            request.fail(error.what());
+        }
+        throw;
+    }
 }
 
 } // namespace mimosahub
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -6,6 +6,7 @@
 
 #include "http/server.h"
 
+#include "base/log.h"
 #include "http/socket_state.h"
 #include "mimosahub/error.h"
 #include "mimosahub/outcome.h"
@@ -57,16 +58,6 @@
     }
 }
 
-Awaitable<void> runHandler(const Handler &handler, Exchange &exchange)
-{
-    // An exception must not leave waitForClose() alone with the connection.
-    try {
-        co_await handler(exchange);
-    } catch (const std::exception &) {
-        exchange.closeAfterwards();
-    }
-}
-
 /// Drops what still comes, until the caller closes its side or kLingerTime is over.
 Awaitable<void> linger(beast::tcp_stream &stream)
 {
@@ -295,6 +286,23 @@
     co_return true;
 }
 
+Awaitable<void> Server::runHandler(Exchange &exchange)
+{
+    // An exception must not leave waitForClose() alone with the connection.
+    try {
+        co_await m_handler(exchange);
+    } catch (const std::exception &error) {
+        exchange.closeAfterwards();
+        if (!isCancellation(error)) {
+            ++m_counters.failed;
+            logEvent(LogLevel::Error, "handler-failed")
+                .with("target", fromBeast(exchange.request().target()))
+                .with("answered", exchange.answered())
+                .with("error", error.what());
+        }
+    }
+}
+
 /// Serves one request; the result says whether the connection goes on.
 Awaitable<bool> Server::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
@@ -318,7 +326,7 @@
     if (m_draining) {
         exchange.closeAfterwards();
     }
-    co_await (runHandler(m_handler, exchange) || waitForClose(stream));
+    co_await (runHandler(exchange) || waitForClose(stream));
     co_return exchange.answered() && exchange.keepAlive() && !m_draining;
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -32,6 +32,7 @@
     std::atomic<std::uint64_t> accepted{0};
     std::atomic<std::uint64_t> refusedConnections{0}; ///< Above maxConnections.
     std::atomic<std::uint64_t> malformed{0}; ///< Requests that could not be read.
+    std::atomic<std::uint64_t> failed{0}; ///< Requests whose handler ended by an exception.
     std::atomic<std::uint64_t> open{0};
     std::atomic<std::uint64_t> busy{0}; ///< Connections with a request to answer, or whose first one is still to come.
 };
@@ -138,6 +139,7 @@
     void startServing(asio::ip::tcp::socket socket);
     Awaitable<void> serve(asio::ip::tcp::socket socket, std::unique_ptr<BusyMark> busy);
     Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<BusyMark> &busy);
+    Awaitable<void> runHandler(Exchange &exchange);
     Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
     Awaitable<void> rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec);
 
