Stay with a silent endpoint until its successor stands

What callers saw: streams that ended in the middle, and refusals of requests that an endpoint had begun, where a healthy endpoint was silent for a while and would have gone on.

Cause: within a stream a pause of 1.5 s (before the first byte: five times the usual time) closed the connection to the endpoint. Only then the daemon looked whether the retry budget, the time and another endpoint were there for a second send; if not, it closed the caller's connection or refused. Class: something is given up before what replaces it is secured.

Now a silence closes nothing. When it lasts for longer than usual, the daemon looks for time, budget and another endpoint and connects to that one; only then it closes the first connection and sends the request again. Whatever lacks, it keeps waiting at the first endpoint until the deadline and looks again after each further silence. If the first one goes on meanwhile, the request stays. If the successor then refuses or is lost, the endpoint that was left is asked once more as a last resort: it is no further server of the request, and a repeat there draws on the budget as well. The first connection is still closed before the request is sent again, so two endpoints never work on it. A silence that goes on counts at the endpoint as a lost answer, so that new requests go elsewhere. A token of the budget is taken only for a send that is made; before, it was also taken when the policy then gave up.

--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -144,6 +144,9 @@
     if (!state.usable) {
         return false;
     }
+    if (query.only && *query.only != state.listed.info.id) {
+        return false;
+    }
     const auto &exclude = query.exclude;
     if (std::find(exclude.begin(), exclude.end(), state.listed.info.id) != exclude.end()) {
         return false;
@@ -303,17 +306,30 @@
     }
 }
 
-void EndpointSelector::recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now)
+EndpointSelector::State *EndpointSelector::find(const EndpointId &endpoint)
 {
     const auto service = m_serviceOf.find(endpoint);
     if (service == m_serviceOf.end()) {
-        return;
+        return nullptr;
     }
     auto &endpoints = m_services[service->second].endpoints;
     const auto it = endpoints.find(endpoint);
-    if (it != endpoints.end()) {
-        it->second.reportedLoad = running + queued;
-        it->second.reportedAt = now;
+    return it == endpoints.end() ? nullptr : &it->second;
+}
+
+void EndpointSelector::recordSilence(const EndpointId &endpoint, TimePoint now)
+{
+    if (auto *state = find(endpoint)) {
+        pause(*state, SendEnd::Lost, now);
+        updateHealth(*state, now);
+    }
+}
+
+void EndpointSelector::recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now)
+{
+    if (auto *state = find(endpoint)) {
+        state->reportedLoad = running + queued;
+        state->reportedAt = now;
     }
 }
 
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -28,6 +28,7 @@
     std::map<ZoneId, std::uint64_t> inputBytes; ///< Approximate bytes that the endpoint will fetch, by zone.
     bool retryable = true; ///< The request may be sent again, so it may go to an endpoint that failed recently.
     std::vector<EndpointId> exclude; ///< Endpoints that were tried already.
+    std::optional<EndpointId> only; ///< Set: no other endpoint may be chosen.
 };
 
 /// The reason why no endpoint may take the request, and when to retry.
@@ -87,6 +88,9 @@
     /// no response.
     void end(const EndpointId &endpoint, const EndpointQuery &query, SendEnd how, std::optional<double> latencyRatio,
              TimePoint now);
+    /// Records that the endpoint was silent for longer than usual while a send to it goes
+    /// on. Like a lost response, a single one is weak evidence.
+    void recordSilence(const EndpointId &endpoint, TimePoint now);
     /// Records the load that the endpoint reported: requests that run and that wait there.
     void recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now);
     /// Changes of health since the last call.
@@ -123,6 +127,7 @@
         std::map<EndpointId, State> endpoints;
     };
 
+    [[nodiscard]] State *find(const EndpointId &endpoint);
     [[nodiscard]] std::vector<State *> candidates(ServiceState &service, const EndpointQuery &query,
                                                   TimePoint now) const;
     [[nodiscard]] bool mayUse(const ServiceState &service, State &state, const EndpointQuery &query,
--- a/src/forward/endpoint_selector_test.cc
+++ b/src/forward/endpoint_selector_test.cc
@@ -195,6 +195,37 @@
     }
 }
 
+// Streams wait at an endpoint that has fallen silent: new ones must not join them.
+Test(endpoint_selector, an_endpoint_at_which_several_sends_are_silent_is_paused)
+{
+    const GatewayConfiguration configuration(parts(0));
+    EndpointSelector selector;
+    Random random(1);
+    selector.setListing({endpoint("x"), endpoint("y", "b")}, configuration, {}, kStart);
+    cr_assert(chosen(selector, query(), kStart, random) == "x");
+    selector.recordSilence(EndpointId("x"), kStart);
+    auto onlyX = query();
+    onlyX.exclude = {EndpointId("y")};
+    cr_assert(chosen(selector, onlyX, kStart, random) == "x");
+    selector.recordSilence(EndpointId("x"), kStart);
+    cr_assert(chosen(selector, query(), kStart, random) == "y");
+    cr_assert(chosen(selector, query(), kStart, random) == "y");
+    selector.recordSilence(EndpointId("unknown"), kStart);
+}
+
+Test(endpoint_selector, a_query_for_one_endpoint_gets_that_one_or_none)
+{
+    const GatewayConfiguration configuration(parts(0));
+    EndpointSelector selector;
+    Random random(1);
+    selector.setListing({endpoint("x"), endpoint("y", "b")}, configuration, {}, kStart);
+    auto onlyY = query();
+    onlyY.only = EndpointId("y");
+    cr_assert(chosen(selector, onlyY, kStart, random) == "y");
+    selector.setListing({endpoint("x")}, configuration, {}, kStart);
+    cr_assert(!chosen(selector, onlyY, kStart, random));
+}
+
 Test(endpoint_selector, requests_with_one_prompt_share_an_endpoint_up_to_a_load_bound)
 {
     const GatewayConfiguration configuration(parts(0));
--- a/src/forward/retry_obstacle.h
+++ b/src/forward/retry_obstacle.h
@@ -14,6 +14,7 @@
     NoBudget, ///< The shared retry budget is empty.
     NoEndpoint, ///< No other endpoint may take it now.
     Unreachable, ///< No connection to the other endpoint could be made.
+    NotNeeded, ///< The present endpoint went on meanwhile.
 };
 
 /// Hyphenated name, for metrics and the log.
@@ -34,6 +35,8 @@
         return "no-endpoint";
     case RetryObstacle::Unreachable:
         return "unreachable";
+    case RetryObstacle::NotNeeded:
+        return "not-needed";
     }
     return "";
 }
--- /dev/null
+++ b/src/gateway/endpoint_send.cc
@@ -0,0 +1,59 @@
+// Whatever ends a request destroys its sends, so that no count at an endpoint is
+// left behind.
+
+#include "gateway/endpoint_send.h"
+
+#include "gateway/endpoint_log.h"
+#include "gateway/forwarded_request.h"
+
+namespace mimosahub
+{
+
+EndpointSend::EndpointSend(ForwardContext &context, ListedEndpoint endpoint, EndpointQuery query)
+    : m_context(context), m_endpoint(std::move(endpoint)), m_query(std::move(query))
+{
+}
+
+EndpointSend::~EndpointSend()
+{
+    if (!m_ended) {
+        end(SendEnd::Dropped, std::nullopt);
+    }
+}
+
+http::Awaitable<absl::Status> EndpointSend::connect(bool proven)
+{
+    if (m_connection) {
+        co_return absl::OkStatus();
+    }
+    auto connection = co_await m_context.pool.acquire(m_endpoint.info.address, proven);
+    if (!connection.ok()) {
+        end(SendEnd::Unreachable, std::nullopt);
+        co_return connection.status();
+    }
+    m_connection = std::move(*connection);
+    co_return absl::OkStatus();
+}
+
+void EndpointSend::releaseConnection()
+{
+    m_context.pool.release(std::move(m_connection));
+}
+
+void EndpointSend::end(SendEnd how, std::optional<double> latencyRatio)
+{
+    m_ended = true;
+    m_context.selector.end(m_endpoint.info.id, m_query, how, latencyRatio, m_context.clock.now());
+    logEndpointHealthChanges(m_context.selector.takeHealthChanges());
+}
+
+void EndpointSend::recordSilence()
+{
+    if (!m_silent) {
+        m_silent = true;
+        m_context.selector.recordSilence(m_endpoint.info.id, m_context.clock.now());
+        logEndpointHealthChanges(m_context.selector.takeHealthChanges());
+    }
+}
+
+} // namespace mimosahub
--- a/src/gateway/forward_metrics.cc
+++ b/src/gateway/forward_metrics.cc
@@ -49,6 +49,15 @@
     }
 }
 
+void ForwardMetrics::recordSilence(RetryObstacle obstacle)
+{
+    m_registry
+        .counter("mimosahub_endpoint_silences_total",
+                 "Silences of endpoints longer than usual, by the obstacle to a second send; none: it was sent.",
+                 {{"obstacle", std::string(retryObstacleName(obstacle))}})
+        .add();
+}
+
 void ForwardMetrics::recordStreamCut(SendLoss loss, RetryObstacle obstacle)
 {
     m_registry
--- a/src/gateway/forward_metrics.h
+++ b/src/gateway/forward_metrics.h
@@ -35,6 +35,8 @@
     }
 
     void record(const ForwardedEnd &end);
+    /// An endpoint was silent for longer than usual. \a obstacle: to sending the request to another one.
+    void recordSilence(RetryObstacle obstacle);
     /// A stream was cut at its caller after it had begun. \a obstacle: to sending the request again.
     void recordStreamCut(SendLoss loss, RetryObstacle obstacle);
 
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -5,11 +5,15 @@
 //
 // A streamed answer is passed on in whole events. Its header goes out with the
 // first event: until then another endpoint may still answer.
+//
+// Silence alone ends nothing: an endpoint that sends nothing for longer than usual is
+// given up only once another one, a connection to it and a token of the retry budget
+// stand ready. Until then the request stays with it. The connection is closed before
+// the request is sent again, so that two endpoints never work on it at once.
 
 #include "gateway/forwarded_request.h"
 
 #include "base/log.h"
-#include "gateway/endpoint_log.h"
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -37,40 +41,12 @@
 constexpr int kLeastOfUsual = 2; ///< An answer rarely begins in less than this part of its usual time.
 constexpr int kFirstErrorStatus = 500;
 
-} // namespace
-
-/// Counts a send at its endpoint until it ends.
-struct ForwardedRequest::Send {
-    Send(ForwardContext &context, ListedEndpoint endpoint, EndpointQuery query)
-        : m_context(context), m_endpoint(std::move(endpoint)), m_query(std::move(query))
-    {
-    }
-    ~Send()
-    {
-        if (!m_ended) {
-            end(SendEnd::Dropped, std::nullopt);
-        }
-    }
-    Send(const Send &) = delete;
-    Send &operator=(const Send &) = delete;
-
-    void end(SendEnd how, std::optional<double> latencyRatio)
-    {
-        m_ended = true;
-        m_context.selector.end(m_endpoint.info.id, m_query, how, latencyRatio, m_context.clock.now());
-        logEndpointHealthChanges(m_context.selector.takeHealthChanges());
-    }
-    [[nodiscard]] const ListedEndpoint &endpoint() const
-    {
-        return m_endpoint;
-    }
+SendLoss lossOf(const absl::Status &status)
+{
+    return absl::IsDeadlineExceeded(status) ? SendLoss::Silence : SendLoss::BrokenOff;
+}
 
-private:
-    ForwardContext &m_context;
-    ListedEndpoint m_endpoint;
-    EndpointQuery m_query;
-    bool m_ended = false;
-};
+} // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardContext &context, http::Exchange &exchange)
     : m_context(context),
@@ -352,39 +328,47 @@
     return options;
 }
 
-bool ForwardedRequest::mayRetry()
+RetryBudget &ForwardedRequest::retryBudget()
+{
+    return m_context.secondSends.try_emplace(m_service, m_context.secondSendOptions).first->second;
+}
+
+RetryObstacle ForwardedRequest::obstacleToRetry()
 {
     if (left() < kMinSendTime) {
-        m_obstacle = RetryObstacle::NoTime;
-        return false;
+        return RetryObstacle::NoTime;
     }
-    auto &budget = m_context.secondSends.try_emplace(m_service, m_context.secondSendOptions).first->second;
-    const bool taken = budget.tryTake(m_context.clock.now());
-    m_obstacle = taken ? RetryObstacle::None : RetryObstacle::NoBudget;
-    return taken;
+    return retryBudget().available(m_context.clock.now()) ? RetryObstacle::None : RetryObstacle::NoBudget;
+}
+
+std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> ForwardedRequest::chooseSend(const EndpointQuery &query)
+{
+    const auto choice = m_context.selector.choose(query, m_context.clock.now(), m_context.random);
+    if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
+        return *none;
+    }
+    return std::make_unique<EndpointSend>(m_context, std::get<ListedEndpoint>(choice), query);
 }
 
 http::Awaitable<void> ForwardedRequest::forward()
 {
-    m_context.secondSends.try_emplace(m_service, m_context.secondSendOptions).first->second.deposit();
+    retryBudget().deposit();
     while (true) {
-        const auto asked = query();
-        const auto choice = m_context.selector.choose(asked, m_context.clock.now(), m_context.random);
+        auto choice = m_successor ? std::move(m_successor) : chooseSend(query());
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
+            m_obstacle = RetryObstacle::NoEndpoint;
+            m_successor = lastResort();
+            if (m_successor) {
+                continue;
+            }
             auto refusal =
                 makeRefusal(none->reason, "no endpoint may take the request", Step::Choose, none->retryAfter);
-            m_obstacle = RetryObstacle::NoEndpoint;
             refusal.outcome = m_policy.outcome();
             co_await refuse(std::move(refusal));
             co_return;
         }
-        const auto &endpoint = std::get<ListedEndpoint>(choice);
-        m_endpoint = endpoint.info.id;
-        m_tried.push_back(m_endpoint);
-        auto report = co_await sendOnce(endpoint, asked);
-        const bool final = report.result == SendResult::Answered;
-        m_loss = report.loss;
-        switch (m_policy.after(report.result, !final && mayRetry())) {
+        auto report = co_await sendOnce(std::move(std::get<std::unique_ptr<EndpointSend>>(choice)));
+        switch (stepAfter(report)) {
         case NextStep::PassOn:
             if (m_streamBegun && report.result != SendResult::Answered) {
                 co_await refuse(refusalAfter(report));
@@ -408,15 +392,104 @@
                 .with("why", std::string_view(report.why));
             break;
         case NextStep::GiveUp:
-            if (m_obstacle == RetryObstacle::None) {
-                m_obstacle = m_route->repeatable() ? RetryObstacle::AttemptsUsed : RetryObstacle::NotRepeatable;
-            }
             co_await refuse(refusalAfter(report));
             co_return;
         }
     }
 }
 
+/// A repeat draws on the shared budget only if it is made.
+NextStep ForwardedRequest::stepAfter(const SendReport &report)
+{
+    m_loss = report.loss;
+    if (m_successor) {
+        return m_policy.after(report.result, /*mayRetry=*/true);
+    }
+    const bool failed = report.result != SendResult::Answered;
+    m_obstacle = failed ? obstacleToRetry() : RetryObstacle::None;
+    const auto next = m_policy.after(report.result, m_obstacle == RetryObstacle::None);
+    if (next == NextStep::SendAgain || next == NextStep::PrepareAgain) {
+        static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
+        return next;
+    }
+    if (next == NextStep::GiveUp || (failed && m_streamBegun)) {
+        m_successor = lastResort();
+    }
+    if (m_successor) {
+        return NextStep::SendAgain;
+    }
+    if (failed && m_obstacle == RetryObstacle::None) {
+        m_obstacle = m_route->repeatable() ? RetryObstacle::AttemptsUsed : RetryObstacle::NotRepeatable;
+    }
+    return next;
+}
+
+std::unique_ptr<EndpointSend> ForwardedRequest::lastResort()
+{
+    if (!m_silent || obstacleToRetry() != RetryObstacle::None) {
+        return nullptr;
+    }
+    auto asked = query();
+    asked.exclude.clear();
+    asked.only = std::exchange(m_silent, std::nullopt);
+    auto choice = chooseSend(asked);
+    if (std::holds_alternative<NoEndpointChosen>(choice)) {
+        return nullptr;
+    }
+    static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
+    return std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
+}
+
+http::Awaitable<RetryObstacle> ForwardedRequest::findSuccessor()
+{
+    if (const auto obstacle = obstacleToRetry(); obstacle != RetryObstacle::None) {
+        co_return obstacle;
+    }
+    auto policy = m_policy;
+    static_cast<void>(policy.after(SendResult::Lost, /*mayRetry=*/true));
+    auto asked = query();
+    asked.retryable = policy.allowsAnotherSend();
+    auto choice = chooseSend(asked);
+    if (std::holds_alternative<NoEndpointChosen>(choice)) {
+        co_return RetryObstacle::NoEndpoint;
+    }
+    auto successor = std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
+    if (!(co_await successor->connect(/*proven=*/false)).ok()) {
+        m_tried.push_back(successor->endpoint().info.id);
+        co_return RetryObstacle::Unreachable;
+    }
+    m_successor = std::move(successor);
+    co_return RetryObstacle::None;
+}
+
+http::Awaitable<bool> ForwardedRequest::replaceSilent(EndpointSend &send)
+{
+    if (left() < kMinSendTime) {
+        m_obstacle = RetryObstacle::NoTime;
+        m_context.metrics.recordSilence(m_obstacle);
+        send.connection().close();
+        co_return true;
+    }
+    m_obstacle = co_await findSuccessor();
+    if (m_successor && !send.connection().idleAndOpen()) {
+        m_obstacle = RetryObstacle::NotNeeded;
+    } else if (m_successor && !retryBudget().tryTake(m_context.clock.now())) {
+        m_obstacle = RetryObstacle::NoBudget;
+    }
+    m_context.metrics.recordSilence(m_obstacle);
+    if (m_obstacle != RetryObstacle::None) {
+        if (m_successor) {
+            m_successor->releaseConnection();
+            m_successor.reset();
+        }
+        send.recordSilence();
+        co_return false;
+    }
+    m_silent = send.endpoint().info.id;
+    send.connection().close();
+    co_return true;
+}
+
 Refusal ForwardedRequest::refusalAfter(const SendReport &report) const
 {
     Refusal refusal;
@@ -443,17 +516,17 @@
     return std::min(left(), std::max<Duration>(least, *usual * kPatienceFactor));
 }
 
-http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::sendOnce(const ListedEndpoint &endpoint,
-                                                                         const EndpointQuery &query)
+http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::sendOnce(std::unique_ptr<EndpointSend> send)
 {
-    Send send(m_context, endpoint, query);
+    const auto &endpoint = send->endpoint();
+    m_endpoint = endpoint.info.id;
+    m_tried.push_back(m_endpoint);
     SendReport report;
     // A request that may run once only needs a connection that surely works.
-    auto connection = co_await m_context.pool.acquire(endpoint.info.address, !m_route->repeatable());
-    if (!connection.ok()) {
+    const auto connected = co_await send->connect(!m_route->repeatable());
+    if (!connected.ok()) {
         report.result = SendResult::Unreachable;
-        report.why = std::string(connection.status().message());
-        send.end(SendEnd::Unreachable, std::nullopt);
+        report.why = std::string(connected.message());
         co_return report;
     }
     if (left() < kMinSendTime) {
@@ -464,8 +537,8 @@
     m_sentAt = m_context.clock.now();
     m_firstByte.reset();
     auto request = m_context.protocol.writeCall(m_exchange.request(), options(endpoint.info.id));
-    m_connection = connection->get();
-    report = co_await exchangeWith(**connection, std::move(request), firstPatience());
+    m_connection = &send->connection();
+    report = co_await exchangeWith(*send, std::move(request));
     m_connection = nullptr;
     if (report.head.load) {
         m_context.selector.recordLoad(endpoint.info.id, report.head.load->running, report.head.load->queued,
@@ -481,30 +554,28 @@
     }
     switch (report.result) {
     case SendResult::Answered:
-        send.end(SendEnd::Answered, latencyRatio);
+        send->end(SendEnd::Answered, latencyRatio);
         break;
     case SendResult::ServerError:
-        send.end(SendEnd::ServerError, std::nullopt);
+        send->end(SendEnd::ServerError, std::nullopt);
         break;
     case SendResult::Lost:
-        send.end(SendEnd::Lost, std::nullopt);
+        send->end(SendEnd::Lost, std::nullopt);
         break;
     case SendResult::Unreachable:
-        send.end(SendEnd::Unreachable, std::nullopt);
+        send->end(SendEnd::Unreachable, std::nullopt);
         break;
     default:
-        send.end(SendEnd::Refused, std::nullopt);
+        send->end(SendEnd::Refused, std::nullopt);
         break;
     }
-    if ((*connection)->reusable()) {
-        m_context.pool.release(std::move(*connection));
-    }
+    send->releaseConnection();
     co_return report;
 }
 
-http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::exchangeWith(http::ClientConnection &connection,
-                                                                             http::Request request, Duration patience)
+http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::exchangeWith(EndpointSend &send, http::Request request)
 {
+    auto &connection = send.connection();
     SendReport report;
     const auto sent = co_await connection.send(request, left());
     if (!sent.ok()) {
@@ -513,8 +584,14 @@
     }
     absl::StatusOr<http::Response> head = absl::UnknownError("no answer");
     for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
-        head = co_await connection.readHeader(patience);
+        if (!co_await awaitFirstByte(send)) {
+            report.loss = SendLoss::Silence;
+            report.why = "the endpoint was silent";
+            co_return report;
+        }
+        head = co_await connection.readHeader(left());
         if (!head.ok()) {
+            report.loss = lossOf(head.status());
             report.why = std::string(head.status().message());
             co_return report;
         }
@@ -523,7 +600,7 @@
             break;
         }
         report.why = "an answer to another request came";
-        if (!(co_await connection.readRest(patience, kMaxAnswerBytes)).ok() || foreign == kMaxForeignAnswers) {
+        if (!(co_await connection.readRest(left(), kMaxAnswerBytes)).ok() || foreign == kMaxForeignAnswers) {
             connection.close();
             co_return report;
         }
@@ -539,10 +616,11 @@
     }
     const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
     if (m_route->streaming && events && report.head.certified) {
-        co_return co_await relay(connection, *head, std::move(report));
+        co_return co_await relay(send, *head, std::move(report));
     }
     const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
     if (!body.ok()) {
+        report.loss = lossOf(body.status());
         report.why = std::string(body.status().message());
         co_return report;
     }
@@ -566,18 +644,47 @@
     }
 }
 
-http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::relay(http::ClientConnection &connection,
-                                                                      const http::Response &head, SendReport report)
+http::Awaitable<bool> ForwardedRequest::awaitFirstByte(EndpointSend &send)
+{
+    while (m_policy.allowsAnotherSend()) {
+        const bool readable = co_await send.connection().waitReadable(firstPatience());
+        if (readable) {
+            co_return true;
+        }
+        if (co_await replaceSilent(send)) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+http::Awaitable<absl::StatusOr<std::string>> ForwardedRequest::readStream(EndpointSend &send)
+{
+    while (m_policy.allowsAnotherSend()) {
+        const auto patience = m_firstByte ? std::min(left(), kStall) : firstPatience();
+        auto data = co_await send.connection().readSomeWithin(patience);
+        if (!data.ok()) {
+            co_return data.status();
+        }
+        if (*data) {
+            co_return std::move(**data);
+        }
+        if (co_await replaceSilent(send)) {
+            co_return absl::DeadlineExceededError("the endpoint was silent");
+        }
+    }
+    co_return co_await send.connection().readSome(left());
+}
+
+http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::relay(EndpointSend &send, const http::Response &head,
+                                                                      SendReport report)
 {
     // What an earlier endpoint had begun of an event comes again as a whole.
     m_events = EventSplitter(m_events.lastId());
     while (true) {
-        const auto patience = !m_firstByte ? firstPatience()
-            : m_policy.allowsAnotherSend() ? std::min(left(), kStall)
-                                           : left();
-        const auto data = co_await connection.readSome(patience);
+        const auto data = co_await readStream(send);
         if (!data.ok()) {
-            report.loss = absl::IsDeadlineExceeded(data.status()) ? SendLoss::Silence : SendLoss::BrokenOff;
+            report.loss = lossOf(data.status());
             report.why = absl::StrCat("the stream broke after ", m_events.events(),
                                       " events: ", std::string(data.status().message()));
             co_return report;
@@ -599,7 +706,7 @@
     if (!m_events.rest().empty()) {
         report.loss = SendLoss::BrokenOff;
         report.why = "the stream ended within an event";
-        connection.close();
+        send.connection().close();
         co_return report;
     }
     if (!m_streamBegun && !co_await passOn("", head)) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -7,6 +7,7 @@
 #include "forward/send_policy.h"
 #include "forward/stage_graph.h"
 #include "gateway/call_protocol.h"
+#include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
 #include "gateway/stage_work.h"
@@ -22,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace mimosahub
@@ -73,8 +75,6 @@
     void cutShort();
 
 private:
-    /// One send while it is under way.
-    struct Send;
     /// A stage whose results won't come.
     struct StageFailure {
         std::size_t stage = 0;
@@ -99,15 +99,29 @@
     [[nodiscard]] Duration leastAfter(std::size_t stage) const;
     [[nodiscard]] std::optional<ZoneId> zoneOf(const ResultHandle &handle) const;
     http::Awaitable<void> forward();
-    http::Awaitable<SendReport> sendOnce(const ListedEndpoint &endpoint, const EndpointQuery &query);
-    http::Awaitable<SendReport> exchangeWith(http::ClientConnection &connection, http::Request request,
-                                             Duration patience);
-    http::Awaitable<SendReport> relay(http::ClientConnection &connection, const http::Response &head,
-                                      SendReport report);
+    /// The endpoint that \a query selects, with a send that is counted there.
+    [[nodiscard]] std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> chooseSend(const EndpointQuery &query);
+    http::Awaitable<SendReport> sendOnce(std::unique_ptr<EndpointSend> send);
+    [[nodiscard]] NextStep stepAfter(const SendReport &report);
+    http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
+    /// False if the endpoint stayed silent and is given up.
+    http::Awaitable<bool> awaitFirstByte(EndpointSend &send);
+    /// Reads more of a stream; DeadlineExceeded if the endpoint stayed silent and is given up.
+    http::Awaitable<absl::StatusOr<std::string>> readStream(EndpointSend &send);
+    http::Awaitable<SendReport> relay(EndpointSend &send, const http::Response &head, SendReport report);
+    /// The endpoint of \a send was silent for longer than usual. True if it is given up: m_successor
+    /// takes over, or no time is left.
+    http::Awaitable<bool> replaceSilent(EndpointSend &send);
+    /// Sets m_successor to a send to another endpoint, connected, if nothing stands in the way.
+    http::Awaitable<RetryObstacle> findSuccessor();
+    /// A send to the endpoint that was given up for its silence, which makes it no further
+    /// endpoint of the request; null if it can't be asked. Once only.
+    [[nodiscard]] std::unique_ptr<EndpointSend> lastResort();
     http::Awaitable<bool> passOn(const std::string &events, const http::Response &head);
     http::Awaitable<void> refuse(Refusal refusal);
     [[nodiscard]] Refusal refusalAfter(const SendReport &report) const;
-    [[nodiscard]] bool mayRetry();
+    [[nodiscard]] RetryBudget &retryBudget();
+    [[nodiscard]] RetryObstacle obstacleToRetry();
     [[nodiscard]] Duration left() const;
     [[nodiscard]] Duration firstPatience() const;
     [[nodiscard]] EndpointQuery query() const;
@@ -138,6 +152,8 @@
     Duration m_stageTime{};
 
     std::vector<EndpointId> m_tried;
+    std::unique_ptr<EndpointSend> m_successor; ///< The next send, if it is secured already.
+    std::optional<EndpointId> m_silent; ///< The endpoint that was given up for its silence.
     EventSplitter m_events;
     bool m_streamBegun = false; ///< The caller has got the header of a stream.
     bool m_streamCut = false; ///< The stream ends before its end.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -7,7 +7,9 @@
 
 #include "http/socket_state.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <netinet/in.h>
@@ -20,6 +22,7 @@
 {
 
 using asio::ip::tcp;
+using namespace asio::experimental::awaitable_operators;
 
 constexpr std::size_t kReadSize = std::size_t(16) * 1024;
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -126,15 +129,7 @@
         m_stream.expires_after(timeout);
     }
     while (!ec && data.empty() && !m_parser->is_done()) {
-        const auto [error, n] = co_await m_stream.async_read_some(m_buffer.prepare(kReadSize), kTuple);
-        m_buffer.commit(n);
-        ec = error;
-        if (ec == asio::error::eof) {
-            ec = {};
-            m_parser->put_eof(ec);
-        } else if (!ec) {
-            ec = takeBuffered(data);
-        }
+        ec = co_await readOnce(data);
     }
     // What came before malformed bytes is given first; they are met again by the next call.
     if (ec && data.empty()) {
@@ -180,6 +175,56 @@
     co_return whole;
 }
 
+/// Reads once and sets \a data to what it brought of the body, which may be nothing.
+Awaitable<boost::system::error_code> ClientConnection::readOnce(std::string &data)
+{
+    auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(kReadSize), kTuple);
+    m_buffer.commit(n);
+    if (ec == asio::error::eof) {
+        ec = {};
+        m_parser->put_eof(ec);
+    } else if (!ec) {
+        ec = takeBuffered(data);
+    }
+    co_return ec;
+}
+
+Awaitable<bool> ClientConnection::waitReadable(Duration timeout)
+{
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    co_return co_await waitForBytes(timeout);
+}
+
+/// As waitReadable(), whatever the buffer holds already.
+Awaitable<bool> ClientConnection::waitForBytes(Duration timeout)
+{
+    asio::steady_timer timer(m_stream.get_executor());
+    timer.expires_after(timeout);
+    const auto first =
+        co_await (m_stream.socket().async_wait(tcp::socket::wait_read, kTuple) || timer.async_wait(kTuple));
+    co_return first.index() == 0;
+}
+
+Awaitable<absl::StatusOr<std::optional<std::string>>> ClientConnection::readSomeWithin(Duration patience)
+{
+    std::string data;
+    auto ec = takeBuffered(data);
+    while (!ec && data.empty() && !m_parser->is_done()) {
+        if (!co_await waitForBytes(patience)) {
+            co_return std::nullopt;
+        }
+        m_stream.expires_never();
+        ec = co_await readOnce(data);
+    }
+    // What came before malformed bytes is given first, as in readSome().
+    if (ec && data.empty()) {
+        co_return failed(Step::Receive, ec);
+    }
+    co_return data;
+}
+
 Awaitable<absl::StatusOr<Response>> ClientConnection::call(Request request, Duration timeout, std::uint64_t maxBytes)
 {
     request.set(beast::http::field::host, m_peer.str());
@@ -201,7 +246,8 @@
 
 bool ClientConnection::reusable() const
 {
-    return !m_broken && m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+    const bool answered = m_parser && m_parser->is_done() && m_parser->keep_alive();
+    return !m_broken && (answered || !m_bytesLeft) && m_buffer.size() == 0;
 }
 
 bool ClientConnection::idleAndOpen()
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,6 +41,12 @@
     /// Reads more of the body: all bytes that have come, at least one, or empty at
     /// the end of the answer.
     Awaitable<absl::StatusOr<std::string>> readSome(Duration timeout);
+    /// Waits until something can be read or \a timeout is over, and leaves the
+    /// connection as it is; false if nothing came.
+    Awaitable<bool> waitReadable(Duration timeout);
+    /// As readSome(), but absent, with a connection that can still be read, if nothing
+    /// comes for \a patience.
+    Awaitable<absl::StatusOr<std::optional<std::string>>> readSomeWithin(Duration patience);
     /// Reads the rest of the body, of at most \a maxBytes.
     Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes);
     /// Sends \a request and reads its whole answer, of at most \a maxBytes of body.
@@ -53,9 +59,9 @@
     {
         return m_bytesLeft;
     }
-    /// Whether the last answer was read whole and the connection can go on.
+    /// Whether the last answer, if there was a call, was read whole and the connection can go on.
     [[nodiscard]] bool reusable() const;
-    /// Whether an idle connection's peer has neither closed it nor sent anything unasked.
+    /// Whether the peer has neither closed the connection nor sent anything that is still to be read.
     [[nodiscard]] bool idleAndOpen();
     [[nodiscard]] const Address &peer() const
     {
@@ -64,6 +70,8 @@
 
 private:
     absl::Status failed(Step step, boost::system::error_code ec);
+    Awaitable<bool> waitForBytes(Duration timeout);
+    Awaitable<boost::system::error_code> readOnce(std::string &data);
     boost::system::error_code takeBuffered(std::string &data);
 
     Address m_peer;
--- a/src/http/server_test.cc
+++ b/src/http/server_test.cc
@@ -76,6 +76,14 @@
             static_cast<void>(co_await exchange.writeChunk("half"));
             exchange.closeAfterwards();
             co_return;
+        } else if (path == "/pause") {
+            static_cast<void>(co_await exchange.startStream(makeResponse(200, kJsonType, "")));
+            static_cast<void>(co_await exchange.writeChunk("before"));
+            boost::asio::steady_timer timer(m_io, 300ms);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            static_cast<void>(co_await exchange.writeChunk(" after"));
+            static_cast<void>(co_await exchange.finishStream());
+            co_return;
         }
         co_await exchange.answer(makeResponse(200, kJsonType, exchange.request().body()));
     }
@@ -148,6 +156,47 @@
     cr_assert_eq(counters.accepted.load(), 2);
 }
 
+Awaitable<void> checkUnused(ConnectionPool &pool, Address address, const ServerCounters &counters)
+{
+    for (int i = 0; i < 3; ++i) {
+        auto connection = co_await pool.acquire(address, false);
+        cr_assert(connection.ok());
+        pool.release(std::move(*connection));
+    }
+    cr_assert((co_await pool.call(address, echoRequest("/echo", "x"), 5s)).ok());
+    cr_assert_eq(counters.accepted.load(), 1);
+}
+
+Awaitable<void> checkSilence(ConnectionPool &pool, Address address)
+{
+    auto connection = co_await pool.acquire(address, false);
+    cr_assert(connection.ok());
+    auto &it = **connection;
+    cr_assert(!co_await it.waitReadable(20ms));
+    auto request = echoRequest("/pause", "");
+    cr_assert((co_await it.send(request, 5s)).ok());
+    cr_assert(co_await it.waitReadable(5s));
+    cr_assert((co_await it.readHeader(5s)).ok());
+    std::string body;
+    int silences = 0;
+    while (true) {
+        const auto data = co_await it.readSomeWithin(50ms);
+        cr_assert(data.ok());
+        if (!*data) {
+            ++silences;
+            cr_assert(it.idleAndOpen());
+            continue;
+        }
+        if ((*data)->empty()) {
+            break;
+        }
+        body += **data;
+    }
+    cr_assert(body == "before after", "%s", body.c_str());
+    cr_assert_gt(silences, 0);
+    cr_assert(it.reusable());
+}
+
 constexpr int kChunks = 200;
 constexpr std::string_view kToken = "data: token\n\n";
 
@@ -316,6 +365,21 @@
     runClient([&](ConnectionPool &pool) { return checkReuse(pool, address, server.counters()); });
 }
 
+// A pause within an answer must not cost the connection.
+Test(client, goes_on_with_an_answer_after_silence)
+{
+    RunningServer server;
+    const Address address{"127.0.0.1", server.port()};
+    runClient([&](ConnectionPool &pool) { return checkSilence(pool, address); });
+}
+
+Test(client, keeps_a_connection_that_was_not_used)
+{
+    RunningServer server;
+    const Address address{"127.0.0.1", server.port()};
+    runClient([&](ConnectionPool &pool) { return checkUnused(pool, address, server.counters()); });
+}
+
 Test(client, takes_all_chunks_that_came_together_in_one_read)
 {
     const auto pieces = piecesOfAnswer("0\r\n\r\n");
