Answer a request whose handler fails

What a caller saw: a request that was read as a whole ended with a closed connection, neither answered nor refused, and the log called it "caller-left".

Cause: the server took any exception of a handler for the end of the request and only closed the connection. Now the gateway refuses with what it knows: 503 if the request was sent to no endpoint, else 502 with an unknown outcome; the server answers 500 with an unknown outcome for any other handler. An exception that only ends a cancelled operation stays silent.

Evidence: server/answers_a_request_whose_handler_fails got "end of stream" before.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -90,13 +90,21 @@
     co_await forward();
 }
 
-void ForwardedRequest::fail(std::string_view what)
+http::Awaitable<void> ForwardedRequest::fail(std::string what)
 {
     m_loss = SendLoss::InternalError;
-    if (m_streamBegun) {
-        noteStreamCut();
+    m_connection = nullptr;
+    logEvent(LogLevel::Error, "handler-failed").with("request", m_call.id).with("error", std::string_view(what));
+    if (m_exchange.answered() && !m_streamBegun) {
+        m_exchange.closeAfterwards();
+        co_return;
     }
-    logEnd("failed", what);
+    // A send that the exception ended has told its result to nobody.
+    const bool mayHaveRun = !m_tried.empty();
+    auto refusal =
+        makeRefusal(mayHaveRun ? Reason::EndpointLost : Reason::Overloaded, std::move(what), Step::Admit, kRetryAfter);
+    refusal.outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    co_await refuse(std::move(refusal));
 }
 
 std::optional<Refusal> ForwardedRequest::resolve()
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -69,8 +69,8 @@
 
     /// Serves the request to its end.
     http::Awaitable<void> run();
-    /// Records that run() ended by an exception, described by \a what.
-    void fail(std::string_view what);
+    /// Refuses the request, since run() ended by an exception, described by \a what.
+    http::Awaitable<void> fail(std::string what);
     /// The daemon ends: gives the request up now.
     void cutShort();
 
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -166,13 +166,17 @@
 http::Awaitable<void> GatewayTraffic::handle(http::Exchange &exchange)
 {
     ForwardedRequest request(*m_context, exchange);
+    std::optional<std::string> failure;
     try {
         co_await request.run();
     } catch (const std::exception &error) {
-        if (!http::isCancellation(error)) {
-            request.fail(error.what());
+        if (http::isCancellation(error)) {
+            throw;
         }
-        throw;
+        failure = error.what();
+    }
+    if (failure) {
+        co_await request.fail(std::move(*failure));
     }
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -41,6 +41,9 @@
 constexpr auto kLingerTime = std::chrono::seconds(2);
 constexpr std::size_t kLingerReadSize = 16384;
 
+/// Status of an answer to a request whose handler failed.
+constexpr int kInternalError = 500;
+
 /// Pause after a failed accept, for example when descriptors run out.
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 
@@ -58,6 +61,22 @@
     }
 }
 
+/// Answers a request whose handler ended by an exception. What it had begun can't
+/// be known here, so the outcome is unknown.
+Awaitable<void> answerFailed(Exchange &exchange, const std::string &failure)
+{
+    logEvent(LogLevel::Error, "handler-failed")
+        .with("target", fromBeast(exchange.request().target()))
+        .with("answered", exchange.answered())
+        .with("error", failure);
+    if (exchange.answered()) {
+        co_return;
+    }
+    auto response = makeResponse(kInternalError, "text/plain", "the daemon failed to handle the request\n");
+    response.set(toBeast(kOutcomeHeader), toBeast(outcomeName(Outcome::Unknown)));
+    co_await exchange.answer(std::move(response));
+}
+
 /// Drops what still comes, until the caller closes its side or kLingerTime is over.
 Awaitable<void> linger(beast::tcp_stream &stream)
 {
@@ -288,18 +307,20 @@
 
 Awaitable<void> Server::runHandler(Exchange &exchange)
 {
+    std::optional<std::string> failure;
     // An exception must not leave waitForClose() alone with the connection.
     try {
         co_await m_handler(exchange);
     } catch (const std::exception &error) {
         exchange.closeAfterwards();
-        if (!isCancellation(error)) {
-            ++m_counters.failed;
-            logEvent(LogLevel::Error, "handler-failed")
-                .with("target", fromBeast(exchange.request().target()))
-                .with("answered", exchange.answered())
-                .with("error", error.what());
+        if (isCancellation(error)) {
+            co_return;
         }
+        failure = error.what();
+    }
+    if (failure) {
+        ++m_counters.failed;
+        co_await answerFailed(exchange, *failure);
     }
 }
 
--- a/src/http/server_test.cc
+++ b/src/http/server_test.cc
@@ -76,6 +76,8 @@
             static_cast<void>(co_await exchange.writeChunk("half"));
             exchange.closeAfterwards();
             co_return;
+        } else if (path == "/throw") {
+            throw std::runtime_error("a fault");
         } else if (path == "/pause") {
             static_cast<void>(co_await exchange.startStream(makeResponse(200, kJsonType, "")));
             static_cast<void>(co_await exchange.writeChunk("before"));
@@ -156,6 +158,14 @@
     cr_assert_eq(counters.accepted.load(), 2);
 }
 
+Awaitable<void> checkFailure(ConnectionPool &pool, Address address)
+{
+    const auto answer = co_await pool.call(address, echoRequest("/throw", ""), 5s);
+    cr_assert(answer.ok(), "%s", std::string(answer.status().message()).c_str());
+    cr_assert_eq(answer->result_int(), 500);
+    cr_assert(header(*answer, "Mimosahub-Outcome") == "unknown");
+}
+
 Awaitable<void> checkUnused(ConnectionPool &pool, Address address, const ServerCounters &counters)
 {
     for (int i = 0; i < 3; ++i) {
@@ -358,6 +368,15 @@
     }
 }
 
+// A caller must not take a fault of the daemon for a connection that broke.
+Test(server, answers_a_request_whose_handler_fails)
+{
+    RunningServer server;
+    const Address address{"127.0.0.1", server.port()};
+    runClient([&](ConnectionPool &pool) { return checkFailure(pool, address); });
+    cr_assert_eq(server.counters().failed.load(), 1);
+}
+
 Test(client, reuses_a_connection_after_a_whole_answer_and_never_after_a_cut_one)
 {
     RunningServer server;
