--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -173,7 +173,18 @@
 http::Awaitable<void> GatewayTraffic::handle(http::Exchange &exchange)
 {
     ForwardedRequest request(*m_context, exchange);
-    co_await request.run();
+    std::optional<std::string> failure;
+    try {
+        co_await request.run();
+    } catch (const std::exception &error) {
+        if (http::isCancellation(error)) {
+            throw;
+        }
+        failure = error.what();
+    }
+    if (failure) {
+        co_await request.fail(std::move(*failure));
+    }
 }
 
 } // namespace mimosahub
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -6,6 +6,7 @@
 
 #include "http/server.h"
 
+#include "base/log.h"
 #include "http/idle_watch.h"
 #include "http/socket_state.h"
 #include "mimosahub/error.h"
@@ -44,6 +45,9 @@
 constexpr auto kLingerTime = std::chrono::seconds(2);
 constexpr std::size_t kLingerReadSize = 16384;
 
+/// Status of an answer to a request whose handler failed.
+constexpr int kInternalError = 500;
+
 /// Pause after a failed accept, for example when descriptors run out.
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 
@@ -61,14 +65,20 @@
     }
 }
 
-Awaitable<void> runHandler(const Handler &handler, Exchange &exchange)
+/// Answers a request whose handler ended by an exception. What it had begun can't
+/// be known here, so the outcome is unknown.
+Awaitable<void> answerFailed(Exchange &exchange, const std::string &failure)
 {
-    // An exception must not leave waitForClose() alone with the connection.
-    try {
-        co_await handler(exchange);
-    } catch (const std::exception &) {
-        exchange.closeAfterwards();
+    logEvent(LogLevel::Error, "handler-failed")
+        .with("target", fromBeast(exchange.request().target()))
+        .with("answered", exchange.answered())
+        .with("error", failure);
+    if (exchange.answered()) {
+        co_return;
     }
+    auto response = makeResponse(kInternalError, "text/plain", "the daemon failed to handle the request\n");
+    response.set(toBeast(kOutcomeHeader), toBeast(outcomeName(Outcome::Unknown)));
+    co_await exchange.answer(std::move(response));
 }
 
 /// Drops what still comes, until the caller closes its side or kLingerTime is over.
@@ -328,6 +338,25 @@
     co_return true;
 }
 
+Awaitable<void> Server::runHandler(Exchange &exchange)
+{
+    std::optional<std::string> failure;
+    // An exception must not leave waitForClose() alone with the connection.
+    try {
+        co_await m_handler(exchange);
+    } catch (const std::exception &error) {
+        exchange.closeAfterwards();
+        if (isCancellation(error)) {
+            co_return;
+        }
+        failure = error.what();
+    }
+    if (failure) {
+        ++m_counters.failed;
+        co_await answerFailed(exchange, *failure);
+    }
+}
+
 /// Serves one request; the result says whether the connection goes on.
 Awaitable<bool> Server::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
@@ -349,7 +378,7 @@
     }
     stream.expires_never();
     Exchange exchange(stream, parser.release(), m_options.messageTimeout, m_draining);
-    co_await (runHandler(m_handler, exchange) || waitForClose(stream));
+    co_await (runHandler(exchange) || waitForClose(stream));
     co_return exchange.answered() && exchange.keepAlive();
 }
 
