Take the stages of a forwarded request out of ForwardedRequest

RequestStages now orders the pieces of a request's stages and keeps their results; the request waits for it and sends. No change of behaviour, but that a request whose stages are made again forgets the zone that it was to run in if no endpoint is preferred any more.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -40,7 +40,6 @@
 constexpr std::uint64_t kMaxRefusalBytes = std::uint64_t(64) << 10U;
 constexpr Duration kRefusalPatience = std::chrono::milliseconds(100); ///< With a refusal's body, which nobody needs.
 constexpr int kMaxForeignAnswers = 2; ///< Late answers to earlier calls that are passed over.
-constexpr int kLeastOfUsual = 2; ///< An answer rarely begins in less than this part of its usual time.
 constexpr int kFirstErrorStatus = 500;
 
 SendLoss lossOf(const absl::Status &status)
@@ -56,8 +55,7 @@
       m_view(context.views.load()),
       m_arrival(context.clock.now()),
       m_giveUpAt(m_arrival),
-      m_uselessAt(m_arrival),
-      m_stageNews(context.io)
+      m_uselessAt(m_arrival)
 {
     m_context.stop.open.insert(this);
 }
@@ -73,7 +71,9 @@
 void ForwardedRequest::cutShort()
 {
     m_giveUpAt = m_context.clock.now();
-    m_stageNews.cancel();
+    if (m_stages) {
+        m_stages->wake();
+    }
     if (m_connection != nullptr) {
         m_connection->close();
     }
@@ -173,132 +173,36 @@
 
 http::Awaitable<std::optional<Refusal>> ForwardedRequest::prepare()
 {
-    m_tickets.clear();
-    m_stageFailure.reset();
-    if (const auto engine = m_context.selector.preferred(query(), m_context.clock.now())) {
-        m_engineZone = engine->zone;
-    }
-    m_graph.emplace(m_route->stages, m_call.pieces);
-    beginStages();
-    while (!m_graph->done() && !m_stageFailure) {
+    const auto engine = m_context.selector.preferred(query(), m_context.clock.now());
+    const StagedRequest staged{*m_route, m_call, *m_view, m_arrival, m_uselessAt, m_rank};
+    m_stages.reset();
+    m_stages = std::make_unique<RequestStages>(m_context, staged, engine ? std::optional(engine->zone) : std::nullopt);
+    m_stages->begin();
+    while (!m_stages->ended()) {
         if (left() < kMinSendTime) {
             const auto reason = m_context.stop.refusing ? Reason::Draining : Reason::DeadlinePassed;
             auto refusal = makeRefusal(reason, "the stages took too long", Step::Choose, kElsewhere);
             refusal.outcome = m_policy.outcome();
             co_return refusal;
         }
-        m_stageNews.expires_after(left());
-        co_await m_stageNews.async_wait(http::kTuple);
+        co_await m_stages->waitForNews(left());
     }
     m_stageTime = m_context.clock.now() - m_arrival;
-    if (m_stageFailure) {
-        m_tickets.clear();
-        auto refusal = makeRefusal(Reason::Overloaded, describe(*m_stageFailure), Step::Choose, comeBackAfter());
+    if (m_stages->failed()) {
+        m_stages->drop();
+        auto refusal = makeRefusal(Reason::Overloaded, m_stages->describeFailure(), Step::Choose, comeBackAfter());
         refusal.outcome = m_policy.outcome();
         co_return refusal;
     }
     co_return std::nullopt;
 }
 
-std::string ForwardedRequest::describe(const StageFailure &failure)
-{
-    const auto &service = m_route->stages[failure.stage].service;
-    const auto load = m_context.stages.load(service);
-    return absl::StrCat("stage ", failure.stage, " can't be done in time (",
-                        std::string(pieceOutcomeName(failure.outcome)), "): ", service.str(), " has ", load.queued,
-                        " pieces waiting for ", load.endpoints, " endpoints");
-}
-
 // Callers who were refused together are spread over the time in which what waits
 // will be done.
 Duration ForwardedRequest::comeBackAfter()
 {
-    Duration longest = kRetryAfter;
-    for (const auto &stage : m_route->stages) {
-        const auto wait = m_context.stages.load(stage.service).wait;
-        longest = std::max(longest, std::min<Duration>(wait, kLongestRetryAfter));
-    }
-    return m_context.random.jitter(longest, kRetrySpread);
-}
-
-void ForwardedRequest::beginStages()
-{
-    for (const auto stage : m_graph->takeReady()) {
-        const auto &rule = m_route->stages[stage];
-        m_tickets[stage] = m_context.stages.submit(rule.service, orderOf(stage), [this, stage](auto result) {
-            if (result.outcome == PieceOutcome::Done) {
-                m_graph->complete(stage, std::move(result.handles));
-                for (const auto spent : m_graph->takeReleasable()) {
-                    m_tickets.erase(spent);
-                }
-                beginStages();
-            } else {
-                m_stageFailure = StageFailure{stage, result.outcome};
-            }
-            m_stageNews.cancel();
-        });
-    }
-}
-
-PieceOrder ForwardedRequest::orderOf(std::size_t stage) const
-{
-    const auto &rule = m_route->stages[stage];
-    PieceOrder order;
-    order.request = m_call.id;
-    order.stage = stage;
-    order.pieces = m_graph->piecesOf(stage);
-    order.key = m_call.pieceKey;
-    order.inputs = m_graph->inputsOf(stage);
-    order.resultBytes = rule.resultBytes;
-    for (const auto before : rule.after) {
-        for (const auto &handle : m_graph->resultsOf(before)) {
-            if (const auto zone = zoneOf(handle)) {
-                order.localBytes[*zone] += m_route->stages[before].resultBytes;
-            }
-        }
-    }
-    if (m_graph->isLast(stage) && m_engineZone) {
-        order.localBytes[*m_engineZone] += rule.resultBytes;
-    }
-    order.dueAt = m_arrival + m_route->target - restAfter(stage);
-    order.expiresAt = m_uselessAt - leastAfter(stage);
-    order.rank = m_rank;
-    return order;
-}
-
-Duration ForwardedRequest::restAfter(std::size_t stage) const
-{
-    auto rest = m_context.usual.of(m_route->id).value_or(Duration::zero());
-    for (const auto next : m_graph->longestRemainingPath(stage)) {
-        const auto load = m_context.stages.load(m_route->stages[next].service);
-        rest += load.call + std::min<Duration>(load.wait, load.call);
-    }
-    return rest;
-}
-
-Duration ForwardedRequest::leastAfter(std::size_t stage) const
-{
-    auto rest = m_context.usual.of(m_route->id).value_or(Duration::zero()) / kLeastOfUsual;
-    for (const auto next : m_graph->longestRemainingPath(stage)) {
-        const auto *service = m_view->configuration->findService(m_route->stages[next].service);
-        if (service != nullptr && service->batch) {
-            rest += service->batch->callTime;
-        }
-    }
-    return rest;
-}
-
-std::optional<ZoneId> ForwardedRequest::zoneOf(const ResultHandle &handle) const
-{
-    const auto maker = m_context.protocol.makerOf(handle);
-    if (maker) {
-        for (const auto &endpoint : m_view->endpoints) {
-            if (endpoint.info.address == *maker) {
-                return endpoint.info.zone;
-            }
-        }
-    }
-    return std::nullopt;
+    const auto wait = std::clamp<Duration>(m_stages->longestWait(), kRetryAfter, kLongestRetryAfter);
+    return m_context.random.jitter(wait, kRetrySpread);
 }
 
 EndpointQuery ForwardedRequest::query() const
@@ -307,17 +211,8 @@
     query.service = m_service;
     query.zone = m_context.zone;
     query.affinity = m_affinity;
-    if (m_graph) {
-        for (std::size_t stage = 0; stage < m_route->stages.size(); ++stage) {
-            if (!m_graph->isLast(stage)) {
-                continue;
-            }
-            for (const auto &handle : m_graph->resultsOf(stage)) {
-                if (const auto zone = zoneOf(handle)) {
-                    query.inputBytes[*zone] += m_route->stages[stage].resultBytes;
-                }
-            }
-        }
+    if (m_stages) {
+        query.inputBytes = m_stages->finalInputBytes();
     }
     query.tokens = static_cast<double>(m_call.promptTokens);
     query.retryable = m_policy.allowsAnotherSend();
@@ -334,7 +229,7 @@
         options.workspace = m_workspace->id;
     }
     options.lastEventId = m_events.lastId().empty() ? m_call.lastEventId : std::optional(m_events.lastId());
-    options.inputs = m_graph->finalInputs();
+    options.inputs = m_stages->finalInputs();
     return options;
 }
 
@@ -702,7 +597,7 @@
         const auto whole = data->empty() ? std::string() : m_events.take(*data);
         if (!whole.empty()) {
             noteFirstByte();
-            m_tickets.clear();
+            m_stages->drop();
         }
         if (!whole.empty() && !co_await passOn(whole, head)) {
             report.loss = SendLoss::CallerGone;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -5,19 +5,16 @@
 #include "forward/event_splitter.h"
 #include "forward/retry_obstacle.h"
 #include "forward/send_policy.h"
-#include "forward/stage_graph.h"
 #include "gateway/call_protocol.h"
 #include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
-#include "gateway/stage_work.h"
+#include "gateway/request_stages.h"
 #include "gateway/usual_times.h"
 #include "http/connection_pool.h"
 #include "http/server.h"
 #include "request/retry_budget.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <map>
 #include <memory>
 #include <optional>
@@ -75,11 +72,6 @@
     void cutShort();
 
 private:
-    /// A stage whose results won't come.
-    struct StageFailure {
-        std::size_t stage = 0;
-        PieceOutcome outcome = PieceOutcome::Failed;
-    };
     /// How a send ended.
     struct SendReport {
         SendResult result = SendResult::Lost;
@@ -92,12 +84,6 @@
     [[nodiscard]] std::optional<Refusal> resolve();
     http::Awaitable<std::optional<Refusal>> prepare();
     [[nodiscard]] Duration comeBackAfter();
-    [[nodiscard]] std::string describe(const StageFailure &failure);
-    void beginStages();
-    [[nodiscard]] PieceOrder orderOf(std::size_t stage) const;
-    [[nodiscard]] Duration restAfter(std::size_t stage) const;
-    [[nodiscard]] Duration leastAfter(std::size_t stage) const;
-    [[nodiscard]] std::optional<ZoneId> zoneOf(const ResultHandle &handle) const;
     http::Awaitable<void> forward();
     /// The endpoint that \a query selects, with a send that is counted there.
     [[nodiscard]] std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> chooseSend(const EndpointQuery &query);
@@ -142,13 +128,9 @@
     ServiceId m_service;
     int m_rank = 0; ///< 0 is the most urgent.
     std::string m_affinity;
-    std::optional<ZoneId> m_engineZone; ///< Where the request will probably run.
     SendPolicy m_policy{{}};
 
-    std::optional<StageGraph> m_graph;
-    std::map<std::size_t, std::unique_ptr<StageTicket>> m_tickets; ///< By stage.
-    std::optional<StageFailure> m_stageFailure;
-    boost::asio::steady_timer m_stageNews;
+    std::unique_ptr<RequestStages> m_stages; ///< From the request's preparation on.
     Duration m_stageTime{};
 
     std::vector<EndpointId> m_tried;
