--- a/src/daemon/answer_sink.cc
+++ b/src/daemon/answer_sink.cc
@@ -103,8 +103,10 @@
     while (true) {
         const auto events = std::exchange(m_events, {});
         m_room.cancel();
-        if (!events.empty() && !(co_await exchange.writeChunk(events)).ok()) {
-            co_return false;
+        if (!events.empty()) {
+            if (!(co_await exchange.writeChunk(events)).ok()) {
+                co_return false;
+            }
         }
         if (m_events.empty() && m_end == End::Stream) {
             co_return (co_await exchange.finishStream()).ok();
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -505,7 +505,8 @@
             break;
         }
         report.why = "an answer to another request came";
-        if (!(co_await connection.readRest(left(), kMaxAnswerBytes)).ok() || foreign == kMaxForeignAnswers) {
+        const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
+        if (!body.ok() || foreign == kMaxForeignAnswers) {
             connection.close();
             co_return report;
         }
@@ -598,11 +599,11 @@
         if (!whole.empty()) {
             noteFirstByte();
             m_stages->drop();
-        }
-        if (!whole.empty() && !co_await passOn(whole, head)) {
-            report.loss = SendLoss::CallerGone;
-            report.why = "the caller doesn't read";
-            co_return report;
+            if (!co_await passOn(whole, head)) {
+                report.loss = SendLoss::CallerGone;
+                report.why = "the caller doesn't read";
+                co_return report;
+            }
         }
         if (m_events.tooLong()) {
             report.loss = SendLoss::BrokenOff;
@@ -620,8 +621,10 @@
         send.connection().close();
         co_return report;
     }
-    if (!m_streamBegun && !co_await passOn("", head)) {
-        co_return report;
+    if (!m_streamBegun) {
+        if (!co_await passOn("", head)) {
+            co_return report;
+        }
     }
     report.result = SendResult::Answered;
     report.why = absl::StrCat(m_events.events(), " events");
@@ -639,7 +642,10 @@
             co_return false;
         }
     }
-    co_return events.empty() || (co_await m_exchange.writeChunk(events)).ok();
+    if (events.empty()) {
+        co_return true;
+    }
+    co_return (co_await m_exchange.writeChunk(events)).ok();
 }
 
 http::Awaitable<void> ForwardedRequest::refuse(Refusal refusal)
