--- a/src/follow/keyed_follower_test.cc
+++ b/src/follow/keyed_follower_test.cc
@@ -202,7 +202,8 @@
         }
     };
     ScriptedStore store;
-    store.pages = {page("a", "1", 0, 1), page("a", "1", 0, 3)};
+    // The second page lacks the odd key, so that its lapse throws, too.
+    store.pages = {page("a", "1", 0, 1), page("a", "1", 0, 3), page("a", "1", 0, 3)};
     store.runs = {KeyedRun{{{"odd", "2", StoreOffset(1)}}, StoreOffset(2)},
                   KeyedRun{{{"b", "3", StoreOffset(3)}}, StoreOffset(4)}};
     ThrowingRecorder recorder;
