Read on behind a page of the store whose items are unreadable

A page with `more` whose items all were unreadable counted as the table's end: the keys on the pages behind it lapsed, so that one odd writer could take sound endpoints out of the list. A store that repeats a page made the follower read it for ever.

A page now names the last key of all its items, and the follower continues after it. Where there is no new key to continue after, it uses what it has read, lets no key lapse, and follows the log, which brings every entry that is written from then on.

--- a/src/follow/keyed_follower.cc
+++ b/src/follow/keyed_follower.cc
@@ -4,10 +4,14 @@
 
 #include "follow/keyed_follower.h"
 
+#include "base/log.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
+#include <set>
+
 namespace mimosahub
 {
 
@@ -96,6 +100,7 @@
 {
     std::vector<KeyedChange> changes;
     std::string after;
+    std::set<std::string> continuedAfter;
     m_table.beginPages();
     while (true) {
         const auto page = co_await m_store.newest(m_options.table, after);
@@ -107,12 +112,21 @@
             co_return false;
         }
         m_table.applyPage(*page, changes);
-        if (!page->more || page->records.empty()) {
+        if (!page->more) {
+            m_table.endPages(changes);
+            break;
+        }
+        if (page->lastKey.empty() || !continuedAfter.insert(page->lastKey).second) {
+            // The log still brings the records to come; to read the same page again would bring nothing.
+            logEvent(LogLevel::Warning, "pages-incomplete")
+                .with("table", storeTableName(m_options.table))
+                .with("after", after)
+                .with("keys", m_table.size());
+            m_table.abandonPages();
             break;
         }
-        after = page->records.back().key;
+        after = page->lastKey;
     }
-    m_table.endPages(changes);
     m_complete = true;
     m_nextReadDelay = m_options.pause;
     if (!m_stopped) {
--- a/src/follow/keyed_follower_test.cc
+++ b/src/follow/keyed_follower_test.cc
@@ -24,10 +24,12 @@
     bool hangs = false; ///< The next read gets no response.
     std::function<void()> onHang;
     std::vector<StoreOffset> readFrom;
+    std::vector<std::string> pagesAfter; ///< The key that each page was read after.
     std::function<void()> onExhausted;
 
-    http::Awaitable<absl::StatusOr<KeyedPage>> newest(StoreTable, std::string) override
+    http::Awaitable<absl::StatusOr<KeyedPage>> newest(StoreTable, std::string afterKey) override
     {
+        pagesAfter.push_back(std::move(afterKey));
         co_return take(pages, absl::StatusOr<KeyedPage>(absl::UnavailableError("none")));
     }
     http::Awaitable<KeyedReadResult> read(StoreTable, StoreOffset from, Duration) override
@@ -111,7 +113,7 @@
 
 KeyedPage page(const std::string &key, const std::string &value, std::uint64_t offset, std::uint64_t end)
 {
-    return {{{key, value, StoreOffset(offset)}}, false, StoreOffset(end)};
+    return {{{key, value, StoreOffset(offset)}}, false, StoreOffset(end), key};
 }
 
 } // namespace
@@ -210,3 +212,34 @@
     runWith(store, recorder);
     cr_assert(std::find(recorder.events.begin(), recorder.events.end(), "changes: b=3") != recorder.events.end());
 }
+
+// The keys on the pages behind such a page lapsed.
+Test(keyed_follower, a_page_of_unreadable_items_is_not_the_end_of_the_table)
+{
+    ScriptedStore store;
+    const KeyedPage odd = {{}, true, StoreOffset(91), "a"};
+    store.pages = {page("b", "1", 3, 4), odd, page("b", "1", 3, 91)};
+    store.runs = {dropped(90)};
+    const auto recorder = run(store);
+    const std::vector<std::string> expected = {"reached", "all: b=1", "reached", "all:"};
+    cr_assert(recorder.events == expected);
+    cr_assert(store.pagesAfter == (std::vector<std::string>{"", "", "a"}));
+}
+
+// The follower read the same page for ever and no new record.
+Test(keyed_follower, follows_on_after_a_page_that_cannot_be_continued)
+{
+    auto repeated = page("b", "1", 3, 4);
+    repeated.more = true;
+    const KeyedPage keyless = {{}, true, StoreOffset(4), ""};
+    for (const auto &odd : {repeated, keyless}) {
+        ScriptedStore store;
+        store.pages = {page("a", "1", 2, 3), odd, odd, odd};
+        store.runs = {dropped(4), KeyedRun{{{"c", "2", StoreOffset(4)}}, StoreOffset(5)}};
+        const auto recorder = run(store);
+        const auto &events = recorder.events;
+        cr_assert(std::find(events.begin(), events.end(), "changes: c=2") != events.end());
+        const auto lapses = [](const std::string &event) { return event.find("a=-") != std::string::npos; };
+        cr_assert(std::none_of(events.begin(), events.end(), lapses));
+    }
+}
--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -47,6 +47,7 @@
     std::vector<KeyedRecord> records; ///< Sorted by key.
     bool more = false; ///< There are further pages.
     StoreOffset end; ///< Offset of the next record to be appended.
+    std::string lastKey; ///< Of all items, also unreadable ones; the next page continues after it.
 };
 
 /// Consecutive records of a table.
--- a/src/follow/keyed_table.h
+++ b/src/follow/keyed_table.h
@@ -34,6 +34,12 @@
     void applyPage(const KeyedPage &page, std::vector<KeyedChange> &changes);
     /// To be called after the last page: appends the removal of the keys that were in no page.
     void endPages(std::vector<KeyedChange> &changes);
+    /// To be called instead of endPages() if the rest of the pages can't be read: the
+    /// keys that were in no page so far are kept.
+    void abandonPages()
+    {
+        m_unseen.clear();
+    }
     /// Applies the records of one read and appends the changes to \a changes.
     void applyRun(const KeyedRun &run, std::vector<KeyedChange> &changes);
 
--- a/src/follow/keyed_table_test.cc
+++ b/src/follow/keyed_table_test.cc
@@ -141,7 +141,7 @@
     KeyedTable table;
     std::vector<KeyedChange> changes;
     table.beginPages();
-    table.applyPage({{{"config", "9", StoreOffset(9)}}, false, StoreOffset(10)}, changes);
+    table.applyPage({{{"config", "9", StoreOffset(9)}}, false, StoreOffset(10), "config"}, changes);
     table.endPages(changes);
     changes.clear();
     table.applyRun({{{"config", "7", StoreOffset(7)}}, StoreOffset(8)}, changes);
@@ -157,7 +157,7 @@
     KeyedTable table;
     std::vector<KeyedChange> changes;
     table.beginPages();
-    table.applyPage({{{"config", "7", StoreOffset(4)}}, false, StoreOffset(6)}, changes);
+    table.applyPage({{{"config", "7", StoreOffset(4)}}, false, StoreOffset(6), "config"}, changes);
     table.endPages(changes);
     cr_assert(table.next() == StoreOffset(5));
 }
@@ -169,7 +169,7 @@
     table.applyRun({{{"a", "1", StoreOffset(0)}, {"b", "2", StoreOffset(1)}}, StoreOffset(2)}, changes);
     changes.clear();
     table.beginPages();
-    table.applyPage({{{"b", "2", StoreOffset(1)}}, false, StoreOffset(9)}, changes);
+    table.applyPage({{{"b", "2", StoreOffset(1)}}, false, StoreOffset(9), "b"}, changes);
     table.endPages(changes);
     cr_assert_eq(changes.size(), 1);
     cr_assert(changes.front().key == "a" && !changes.front().value && changes.front().lapsed);
