Bound the bytes that daemons hand on of the endpoints' list

The daemon that hands on endpoints' entries kept 2048 records of any size. A message between daemons may have 1 MiB, and a larger one closes the connection, which also carries the orders of stages; the daemon that gave it counted as failing.

The relay keeps at most 512 KiB. An offset before what it keeps is not covered, and who asks for it reads the store, as before.

--- a/src/follow/table_relay.cc
+++ b/src/follow/table_relay.cc
@@ -8,22 +8,44 @@
 namespace mimosahub
 {
 
+namespace
+{
+
+constexpr std::size_t kRecordBytes = 64; ///< Of a record in a message, besides its key and value.
+
+std::size_t bytesOf(const KeyedRecord &record)
+{
+    return kRecordBytes + record.key.size() + (record.value ? record.value->size() : 0);
+}
+
+} // namespace
+
 void TableRelay::add(StoreOffset from, const KeyedRun &run, TimePoint sentAt)
 {
     const std::lock_guard lock(m_mutex);
     if (!m_confirmedAt || from != m_end) {
         m_records.clear();
+        m_bytes = 0;
         m_begin = from;
     }
-    m_records.insert(m_records.end(), run.records.begin(), run.records.end());
+    for (const auto &record : run.records) {
+        m_bytes += bytesOf(record);
+        m_records.push_back(record);
+    }
     m_end = run.next;
     m_confirmedAt = sentAt;
-    while (m_records.size() > m_options.maxRecords) {
-        m_begin = m_records.front().offset.next();
-        m_records.pop_front();
+    while (m_records.size() > m_options.maxRecords || m_bytes > m_options.maxBytes) {
+        dropFirst();
     }
 }
 
+void TableRelay::dropFirst()
+{
+    m_begin = m_records.front().offset.next();
+    m_bytes -= bytesOf(m_records.front());
+    m_records.pop_front();
+}
+
 void TableRelay::setDocumentOffset(StoreOffset next)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/follow/table_relay.h
+++ b/src/follow/table_relay.h
@@ -22,6 +22,7 @@
 struct TableRelayOptions {
     Duration queryTimeout = std::chrono::seconds(3); ///< Other daemons are expected to query again within this time.
     std::size_t maxRecords = 2048; ///< Number of records kept; older ones are dropped.
+    std::size_t maxBytes = 512 * 1024; ///< Of all records kept, which must fit into one message between daemons.
 };
 
 /// The newest records of one table as this daemon read them from the store, for
@@ -44,9 +45,12 @@
     [[nodiscard]] bool hasRecentQueries(TimePoint now) const;
 
 private:
+    void dropFirst();
+
     TableRelayOptions m_options;
     mutable std::mutex m_mutex;
     std::deque<KeyedRecord> m_records; ///< In order.
+    std::size_t m_bytes = 0; ///< Of m_records.
     StoreOffset m_begin; ///< Start of the covered range, of which m_records has what add() got.
     StoreOffset m_end; ///< End of the covered range.
     std::optional<TimePoint> m_confirmedAt; ///< Time at which the table ended at m_end; absent if nothing was read.
--- a/src/follow/table_relay_test.cc
+++ b/src/follow/table_relay_test.cc
@@ -55,6 +55,33 @@
     cr_assert(relay.answer(StoreOffset(1), kStart)->run.records.size() == 2);
 }
 
+// Messages between daemons are limited: a longer one closes the connection, with the stages' orders on it.
+Test(table_relay, drops_old_records_beyond_its_limit_of_bytes)
+{
+    TableRelay relay;
+    StoreOffset next;
+    constexpr std::size_t kMessageBytes = 1U << 20U;
+    const KeyedRecord large{"odd", std::string(100'000, '['), {}};
+    for (int i = 0; i < 20; ++i) {
+        auto record = large;
+        record.offset = next;
+        relay.add(next, runOf({record}, next.value() + 1), kStart);
+        next = next.next();
+    }
+    cr_assert(!relay.answer(StoreOffset(0), kStart));
+    const auto answer = relay.answer(StoreOffset(18), kStart);
+    cr_assert(answer && answer->run.records.size() == 2);
+    for (std::uint64_t from = 0; from < 20; ++from) {
+        const auto part = relay.answer(StoreOffset(from), kStart);
+        cr_assert(!part || part->run.records.size() * 100'000 < kMessageBytes);
+    }
+    auto huge = large;
+    huge.value = std::string(2 * kMessageBytes, '[');
+    huge.offset = next;
+    relay.add(next, runOf({huge}, next.value() + 1), kStart);
+    cr_assert(!relay.answer(next, kStart) && relay.answer(next.next(), kStart));
+}
+
 Test(table_relay, reports_whether_there_were_recent_queries)
 {
     TableRelay relay;
