Keep an endpoint's load when it changes its service

An endpoint that changes its service is gone from the old one, and with that the selector forgot of which service it is: the load that it reported was dropped until the next change of the list. Shown by endpoint_selector the_load_of_an_endpoint_counts_after_it_changed_its_service, which failed before (forward_test 65 of 66) and passes now (66 of 66).

--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -88,11 +88,14 @@
         state.usable = !listed.info.leaving && !closed;
         m_serviceOf[listed.info.id] = listed.info.service;
     }
-    for (auto &[name, service] : m_services) {
-        std::erase_if(service.endpoints, [&](const auto &entry) {
+    for (auto &[service, serviceState] : m_services) {
+        std::erase_if(serviceState.endpoints, [&, &service = service](const auto &entry) {
             const bool gone = !entry.second.usable && entry.second.running == 0;
             if (gone && !closedZones.contains(entry.second.listed.info.zone)) {
-                m_serviceOf.erase(entry.first);
+                const auto it = m_serviceOf.find(entry.first);
+                if (it != m_serviceOf.end() && it->second == service) { // It may have changed to another one.
+                    m_serviceOf.erase(it);
+                }
                 return true;
             }
             return false;
--- a/src/forward/endpoint_selector_test.cc
+++ b/src/forward/endpoint_selector_test.cc
@@ -269,3 +269,21 @@
     }
     cr_assert(sends["small"] >= 1 && sends["small"] <= 2, "%d", sends["small"]);
 }
+
+// What it reported was dropped until the next change of the list.
+Test(endpoint_selector, the_load_of_an_endpoint_counts_after_it_changed_its_service)
+{
+    EndpointSelector selector;
+    const auto configuration = parts(0);
+    for (const auto *before : {"r", "z"}) { // In order, before and after the new service.
+        auto moved = endpoint("moved");
+        moved.info.service = ServiceId(before);
+        selector.setListing({moved, endpoint("still")}, GatewayConfiguration(configuration), {}, kStart);
+        selector.setListing({endpoint("moved"), endpoint("still")}, GatewayConfiguration(configuration), {}, kStart);
+        selector.recordLoad(EndpointId("moved"), 3, 50, kStart);
+        Random random(7);
+        for (int i = 0; i < 4; ++i) {
+            cr_assert(*chosen(selector, query(), kStart, random) == "still", "%s", before);
+        }
+    }
+}
