Answer a request whose handling ends by an exception

Callers saw a closed connection: neither an answer nor a refusal. The server caught the exception and closed. One cause is a request whose last stages have so many pieces that their handles exceed what one header field can hold (65,533 bytes): Beast throws std::length_error when the call is written.

ForwardedRequest answers after any exception: 503 and not-run if nothing was sent, 502 and unknown if a send was under way, and breaks off a stream that has begun. Such a request is logged as `request-exception`. One whose caller has left gets no answer.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -13,6 +13,7 @@
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
+#include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
 
@@ -103,7 +104,30 @@
     }
 }
 
+// A caller whose request ends by an exception must get an answer, too.
 http::Awaitable<void> ForwardedRequest::run()
+{
+    std::string problem;
+    try {
+        co_await serve();
+        co_return;
+    } catch (const std::exception &e) {
+        problem = e.what();
+    }
+    m_connection = nullptr;
+    const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
+    if (cancellation.cancelled() != boost::asio::cancellation_type::none) {
+        co_return; // The caller has left.
+    }
+    logEvent(LogLevel::Error, "request-exception").with("request", m_call.id).with("why", std::string_view(problem));
+    if (m_exchange.answered() && !m_streamBegun) {
+        m_exchange.closeAfterwards();
+        co_return;
+    }
+    co_await refuse(refusalAfterException(std::move(problem)));
+}
+
+http::Awaitable<void> ForwardedRequest::serve()
 {
     if (auto refusal = resolve()) {
         co_await refuse(std::move(*refusal));
@@ -372,7 +396,9 @@
         m_tried.push_back(m_endpoint);
         auto report = co_await sendOnce(endpoint, asked);
         const bool final = report.result == SendResult::Answered;
-        switch (m_policy.after(report.result, !final && mayRetry())) {
+        const auto next = m_policy.after(report.result, !final && mayRetry());
+        m_sending = false;
+        switch (next) {
         case NextStep::PassOn:
             if (m_streamBegun && report.result != SendResult::Answered) {
                 co_await refuse(refusalAfter(report));
@@ -418,6 +444,15 @@
     return refusal;
 }
 
+Refusal ForwardedRequest::refusalAfterException(std::string problem) const
+{
+    const auto outcome = m_sending ? Outcome::Unknown : m_policy.outcome();
+    const auto reason = outcome == Outcome::NotRun ? Reason::Overloaded : Reason::EndpointLost;
+    auto refusal = makeRefusal(reason, std::move(problem), Step::Send);
+    refusal.outcome = outcome;
+    return refusal;
+}
+
 Duration ForwardedRequest::firstPatience() const
 {
     const auto usual = m_context.usual.of(m_route->id);
@@ -450,6 +485,7 @@
     m_firstByte.reset();
     auto request = m_context.protocol.writeCall(m_exchange.request(), options(endpoint.info.id));
     m_connection = connection->get();
+    m_sending = true;
     report = co_await exchangeWith(**connection, std::move(request), firstPatience());
     m_connection = nullptr;
     if (report.head.load) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -85,6 +85,7 @@
         std::string why; ///< For the log.
     };
 
+    http::Awaitable<void> serve();
     [[nodiscard]] std::optional<Refusal> resolve();
     http::Awaitable<std::optional<Refusal>> prepare();
     [[nodiscard]] Duration comeBackAfter();
@@ -103,6 +104,7 @@
     http::Awaitable<bool> passOn(const std::string &events, const http::Response &head);
     http::Awaitable<void> refuse(Refusal refusal);
     [[nodiscard]] Refusal refusalAfter(const SendReport &report) const;
+    [[nodiscard]] Refusal refusalAfterException(std::string problem) const;
     [[nodiscard]] bool mayRetry();
     [[nodiscard]] Duration left() const;
     [[nodiscard]] Duration firstPatience() const;
@@ -139,6 +141,7 @@
     TimePoint m_sentAt;
     EndpointId m_endpoint; ///< Of the last send.
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
+    bool m_sending = false; ///< A send has begun whose end m_policy doesn't know yet.
     bool m_logged = false;
 };
 
