Let an exception in posted work end neither the threads nor the process

The traffic and control threads ran their event loop without a catch: an exception in work that is posted to them (GatewayTraffic::takeView, planning of stages, timers) would end the process. No input is known that throws there since numbers are bounded where they are read; the class is the same as that of an odd entry which ends a daemon. The loop now logs `handler-exception` and goes on.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "gateway/daemon_entry.h"
+#include "http/event_loop.h"
 #include "http/spawn.h"
 #include "mimosahub/error.h"
 
@@ -109,7 +110,7 @@
     m_endpoints.start();
     m_daemons.start();
     http::spawn(m_io, announceLoop());
-    m_thread = std::thread([this] { m_io.run(); });
+    m_thread = std::thread([this] { http::runEventLoop(m_io, "control"); });
 }
 
 void GatewayControl::stop()
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -3,6 +3,8 @@
 
 #include "gateway/gateway_traffic.h"
 
+#include "http/event_loop.h"
+
 #include <boost/asio/post.hpp>
 
 namespace mimosahub
@@ -91,7 +93,7 @@
 void GatewayTraffic::start()
 {
     m_server->start();
-    m_thread = std::thread([this] { m_io->run(); });
+    m_thread = std::thread([this] { http::runEventLoop(*m_io, "traffic"); });
 }
 
 void GatewayTraffic::stop()
