Refuse a request whose stages have more results than a call can name

It is refused with 413 (not-run) once its stages are done, before an endpoint is chosen. The limit of 60,000 bytes stays below the 65,533 that Beast holds in a field. How long handles are isn't known earlier, so the stages are made first.

--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -33,6 +33,8 @@
     PieceKey pieceKey; ///< Names the input of stages that follow no other.
 };
 
+inline constexpr std::size_t kMaxInputsBytes = 60'000; ///< Of a call's inputs, which one header holds.
+
 /// What the gateway adds to a call for one endpoint.
 struct ForwardOptions {
     EndpointId endpoint; ///< Any other endpoint at the address refuses the call.
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -228,9 +228,24 @@
         refusal.outcome = m_policy.outcome();
         co_return refusal;
     }
+    if (!inputsFit()) {
+        m_tickets.clear();
+        auto refusal = makeRefusal(Reason::TooLarge, "the stages have more results than a call can name", Step::Choose);
+        refusal.outcome = m_policy.outcome();
+        co_return refusal;
+    }
     co_return std::nullopt;
 }
 
+bool ForwardedRequest::inputsFit() const
+{
+    std::size_t bytes = 0;
+    for (const auto &handle : m_graph->finalInputs()) {
+        bytes += handle.str().size() + 1; // With its comma.
+    }
+    return bytes <= kMaxInputsBytes;
+}
+
 std::string ForwardedRequest::describe(const StageFailure &failure)
 {
     const auto &service = m_route->stages[failure.stage].service;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -103,6 +103,7 @@
                                       SendReport report);
     http::Awaitable<bool> passOn(const std::string &events, const http::Response &head);
     http::Awaitable<void> refuse(Refusal refusal);
+    [[nodiscard]] bool inputsFit() const;
     [[nodiscard]] Refusal refusalAfter(const SendReport &report) const;
     [[nodiscard]] Refusal refusalAfterException(std::string problem) const;
     [[nodiscard]] bool mayRetry();
