--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -101,12 +101,7 @@
         m_exchange.closeAfterwards();
         co_return;
     }
-    // A send that the exception ended has told its result to nobody.
-    const bool mayHaveRun = !m_tried.empty();
-    auto refusal =
-        makeRefusal(mayHaveRun ? Reason::EndpointLost : Reason::Overloaded, std::move(what), Step::Admit, kRetryAfter);
-    refusal.outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-    co_await refuse(std::move(refusal));
+    co_await refuse(refusalAfterException(std::move(what)));
 }
 
 std::optional<Refusal> ForwardedRequest::resolve()
@@ -194,9 +189,24 @@
         refusal.outcome = m_policy.outcome();
         co_return refusal;
     }
+    if (!inputsFit()) {
+        m_tickets.clear();
+        auto refusal = makeRefusal(Reason::TooLarge, "the stages have more results than a call can name", Step::Choose);
+        refusal.outcome = m_policy.outcome();
+        co_return refusal;
+    }
     co_return std::nullopt;
 }
 
+bool ForwardedRequest::inputsFit() const
+{
+    std::size_t bytes = 0;
+    for (const auto &handle : m_stages->finalInputs()) {
+        bytes += handle.str().size() + 1; // With its comma.
+    }
+    return bytes <= kMaxInputsBytes;
+}
+
 // Callers who were refused together are spread over the time in which what waits
 // will be done.
 Duration ForwardedRequest::comeBackAfter()
@@ -273,7 +283,9 @@
             co_return;
         }
         auto report = co_await sendOnce(std::move(std::get<std::unique_ptr<EndpointSend>>(choice)));
-        switch (stepAfter(report)) {
+        const auto next = stepAfter(report);
+        m_sending = false;
+        switch (next) {
         case NextStep::PassOn:
             if (m_streamBegun && report.result != SendResult::Answered) {
                 co_await refuse(refusalAfter(report));
@@ -411,6 +423,15 @@
     return refusal;
 }
 
+Refusal ForwardedRequest::refusalAfterException(std::string problem) const
+{
+    const auto outcome = m_sending ? Outcome::Unknown : m_policy.outcome();
+    const auto reason = outcome == Outcome::NotRun ? Reason::Overloaded : Reason::EndpointLost;
+    auto refusal = makeRefusal(reason, std::move(problem), Step::Send, kRetryAfter);
+    refusal.outcome = outcome;
+    return refusal;
+}
+
 Duration ForwardedRequest::firstPatience() const
 {
     const auto usual = m_context.usual.of(m_route->id);
@@ -443,6 +464,7 @@
     m_firstByte.reset();
     auto request = m_context.protocol.writeCall(m_exchange.request(), options(endpoint.info.id));
     m_connection = &send->connection();
+    m_sending = true;
     report = co_await exchangeWith(*send, std::move(request));
     m_connection = nullptr;
     if (report.head.load) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -105,7 +105,9 @@
     [[nodiscard]] std::unique_ptr<EndpointSend> lastResort();
     http::Awaitable<bool> passOn(const std::string &events, const http::Response &head);
     http::Awaitable<void> refuse(Refusal refusal);
+    [[nodiscard]] bool inputsFit() const;
     [[nodiscard]] Refusal refusalAfter(const SendReport &report) const;
+    [[nodiscard]] Refusal refusalAfterException(std::string problem) const;
     [[nodiscard]] RetryBudget &retryBudget();
     [[nodiscard]] RetryObstacle obstacleToRetry();
     [[nodiscard]] Duration left() const;
@@ -145,6 +147,7 @@
     TimePoint m_sentAt;
     EndpointId m_endpoint; ///< Of the last send.
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
+    bool m_sending = false; ///< A send has begun whose end m_policy doesn't know yet.
     bool m_logged = false;
 };
 
