--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -46,9 +46,35 @@
   offset @3 :UInt64;
 }
 
+struct VersionOutcomes {
+  finished @0 :UInt64;
+  failed @1 :UInt64;
+  slow @2 :UInt64;
+}
+
+struct RouteOutcomes {
+  caller @0 :Text;
+  zone @1 :Text;
+  from @2 :VersionOutcomes;
+  to @3 :VersionOutcomes;
+}
+
+struct SplitReport {
+  service @0 :Text;
+  target @1 :Text;
+  record @2 :UInt64;
+  daemon @3 :Text;
+  incarnation @4 :UInt64;
+  elapsedUs @5 :Int64;
+  phase @6 :UInt8;
+  fault @7 :Text;
+  routes @8 :List(RouteOutcomes);
+}
+
 interface StageProtocol {
   run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (loads :List(BatchLoad));
   readTable @3 (table :UInt8, from :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord), documents :UInt64);
+  reportSplit @4 (report :SplitReport) -> (known :Bool, phase :UInt8, reason :Text);
 }
--- a/src/follow/keyed_table.cc
+++ b/src/follow/keyed_table.cc
@@ -51,7 +51,7 @@
     for (const auto &[key, offset] : m_unseen) {
         if (offset < m_end) {
             m_offsets.erase(key);
-            changes.push_back({key, std::nullopt, true});
+            changes.push_back({key, std::nullopt, true, StoreOffset()});
         }
     }
     m_unseen.clear();
@@ -79,10 +79,10 @@
     }
     if (record.value) {
         m_offsets[record.key] = record.offset;
-        changes.push_back({record.key, record.value, false});
+        changes.push_back({record.key, record.value, false, record.offset});
     } else if (it != m_offsets.end()) {
         m_offsets.erase(it);
-        changes.push_back({record.key, std::nullopt, false});
+        changes.push_back({record.key, std::nullopt, false, record.offset});
     }
 }
 
--- a/src/follow/keyed_table.h
+++ b/src/follow/keyed_table.h
@@ -16,6 +16,7 @@
     /// The key was missing when all keys were read again after a gap (records that the store dropped before they
     /// were read); no record that removes it was seen.
     bool lapsed = false;
+    StoreOffset offset; ///< Of the record; 0 if lapsed.
 };
 
 /// Converts pages and runs of a table to changes, so that a reader sees each key's
--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -144,6 +144,9 @@
     if (!state.usable) {
         return false;
     }
+    if (query.version && !query.version->admits(state.listed.info.version)) {
+        return false;
+    }
     const auto &exclude = query.exclude;
     if (std::find(exclude.begin(), exclude.end(), state.listed.info.id) != exclude.end()) {
         return false;
@@ -317,6 +320,17 @@
     }
 }
 
+bool EndpointSelector::isCold(const EndpointId &endpoint, TimePoint now) const
+{
+    const auto service = m_serviceOf.find(endpoint);
+    if (service == m_serviceOf.end()) {
+        return false;
+    }
+    const auto &endpoints = m_services.at(service->second).endpoints;
+    const auto it = endpoints.find(endpoint);
+    return it != endpoints.end() && now < it->second.coldUntil;
+}
+
 int EndpointSelector::inFlight(const ServiceId &service) const
 {
     const auto it = m_services.find(service);
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -19,6 +19,17 @@
 namespace mimosahub
 {
 
+/// Versions that a send may go to.
+struct VersionFilter {
+    VersionId version;
+    bool wanted = false; ///< Only to endpoints of \a version; otherwise only to all others.
+
+    [[nodiscard]] bool admits(const VersionId &other) const
+    {
+        return (other == version) == wanted;
+    }
+};
+
 /// Criteria for the endpoint of one send of a request.
 struct EndpointQuery {
     ServiceId service;
@@ -28,6 +39,7 @@
     std::map<ZoneId, std::uint64_t> inputBytes; ///< Approximate bytes that the endpoint will fetch, by zone.
     bool retryable = true; ///< The request may be sent again, so it may go to an endpoint that failed recently.
     std::vector<EndpointId> exclude; ///< Endpoints that were tried already.
+    std::optional<VersionFilter> version; ///< Absent: any version.
 };
 
 /// The reason why no endpoint may take the request, and when to retry.
@@ -89,6 +101,8 @@
              TimePoint now);
     /// Records the load that the endpoint reported: requests that run and that wait there.
     void recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now);
+    /// Whether the endpoint is slow since it has just started.
+    [[nodiscard]] bool isCold(const EndpointId &endpoint, TimePoint now) const;
     /// Changes of health since the last call.
     [[nodiscard]] std::vector<EndpointHealthChange> takeHealthChanges()
     {
--- /dev/null
+++ b/src/forward/version_split_test.cc
@@ -0,0 +1,65 @@
+#include "forward/version_split.h"
+
+#include <rapidcheck.h>
+
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace mimosahub;
+
+// Whatever phases the daemons are in, and however their requests are distributed, the
+// target gets no more than its limit until the rollout moves all requests.
+Test(version_split, daemons_keep_the_limit_together_without_a_message)
+{
+    cr_assert(rc::check([] {
+        const ExposureLimit limit{0.1, 50.0};
+        const int daemons = *rc::gen::inRange(1, 80);
+        std::vector<VersionSplit> splits(static_cast<std::size_t>(daemons), VersionSplit(limit));
+        Random random(*rc::gen::arbitrary<std::uint64_t>());
+        for (auto &split : splits) {
+            split.setDaemons(daemons);
+        }
+        int target = 0;
+        int all = 0;
+        const int requests = *rc::gen::inRange(1, 5000);
+        for (; all < requests; ++all) {
+            auto &split = splits[random.below(splits.size())];
+            if (random.below(20) == 0) {
+                split.setPhase(static_cast<SplitPhase>(random.below(3)));
+            }
+            if (split.drawTarget(random)) {
+                split.recordTargetSend();
+                ++target;
+            } else {
+                split.recordOldSend();
+            }
+            RC_ASSERT(target <= limit.share * (all + 1) + limit.slack);
+        }
+    }));
+}
+
+Test(version_split, a_version_gets_nothing_after_its_rollback)
+{
+    VersionSplit split({0.1, 50.0});
+    Random random(1);
+    for (const auto phase : {SplitPhase::Paused, SplitPhase::RolledBack}) {
+        split.setPhase(phase);
+        for (int i = 0; i < 1000; ++i) {
+            cr_assert(!split.drawTarget(random));
+            split.recordOldSend();
+        }
+    }
+    cr_assert(!split.mayUseTarget());
+}
+
+Test(version_split, a_trial_uses_half_of_the_share)
+{
+    VersionSplit split({0.1, 50.0});
+    Random random(1);
+    split.setPhase(SplitPhase::Trial);
+    for (int i = 0; i < 10'000; ++i) {
+        split.drawTarget(random) ? split.recordTargetSend() : split.recordOldSend();
+    }
+    cr_assert(split.targetSends() > 400 && split.targetSends() < 600, "%d", static_cast<int>(split.targetSends()));
+}
--- a/src/gateway/document_reader.h
+++ b/src/gateway/document_reader.h
@@ -3,10 +3,12 @@
 #include "forward/daemon_directory.h"
 #include "forward/gateway_configuration.h"
 #include "forward/listed_endpoint.h"
+#include "forward/version_split.h"
 
 #include <absl/status/statusor.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,6 +36,7 @@
     ServiceId service;
     VersionId target;
     RolloutStage stage = RolloutStage::Running;
+    std::optional<RolloutRecord> order; ///< The order's record; absent in a status without one.
 
     friend bool operator==(const RolloutReport &, const RolloutReport &) = default;
 };
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -352,12 +352,38 @@
     return budget.tryTake(m_context.clock.now());
 }
 
+std::variant<ListedEndpoint, NoEndpointChosen> ForwardedRequest::chooseEndpoint(EndpointQuery &query)
+{
+    const auto now = m_context.clock.now();
+    query.version = m_context.rollouts.drawVersion(m_service);
+    auto choice = m_context.selector.choose(query, now, m_context.random);
+    if (std::holds_alternative<NoEndpointChosen>(choice) && query.version
+        && m_context.rollouts.mayUseOther(m_service, *query.version)) {
+        query.version->wanted = !query.version->wanted;
+        choice = m_context.selector.choose(query, now, m_context.random);
+    }
+    return choice;
+}
+
+std::optional<AnswerTimes> ForwardedRequest::answerTimes() const
+{
+    if (!m_firstByte) {
+        return std::nullopt;
+    }
+    AnswerTimes times{*m_firstByte, std::nullopt};
+    if (m_events.events() > 1) {
+        const auto stream = m_context.clock.now() - m_sentAt - *m_firstByte;
+        times.gap = stream / static_cast<Duration::rep>(m_events.events() - 1);
+    }
+    return times;
+}
+
 http::Awaitable<void> ForwardedRequest::forward()
 {
     m_context.secondSends.try_emplace(m_service, m_context.secondSendOptions).first->second.deposit();
     while (true) {
-        const auto asked = query();
-        const auto choice = m_context.selector.choose(asked, m_context.clock.now(), m_context.random);
+        auto asked = query();
+        const auto choice = chooseEndpoint(asked);
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
             auto refusal =
                 makeRefusal(none->reason, "no endpoint may take the request", Step::Choose, none->retryAfter);
@@ -368,7 +394,11 @@
         const auto &endpoint = std::get<ListedEndpoint>(choice);
         m_endpoint = endpoint.info.id;
         m_tried.push_back(m_endpoint);
+        CountedSend counted(m_context.rollouts, endpoint.info, m_route->id,
+                            m_context.selector.isCold(m_endpoint, m_context.clock.now()));
+        m_firstByte.reset();
         auto report = co_await sendOnce(endpoint, asked);
+        counted.end(report.result, answerTimes());
         const bool final = report.result == SendResult::Answered;
         switch (m_policy.after(report.result, !final && mayRetry())) {
         case NextStep::PassOn:
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -8,6 +8,7 @@
 #include "gateway/call_protocol.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
+#include "gateway/rollout_director.h"
 #include "gateway/stage_work.h"
 #include "gateway/usual_times.h"
 #include "http/client.h"
@@ -48,6 +49,7 @@
     UsualTimes &usual;
     ForwardMetrics &metrics;
     std::map<RouteId, PromptAffinity> &affinities;
+    RolloutDirector &rollouts;
     Random &random;
     StopState &stop;
     ZoneId zone; ///< This daemon's.
@@ -95,6 +97,8 @@
     [[nodiscard]] Duration leastAfter(std::size_t stage) const;
     [[nodiscard]] std::optional<ZoneId> zoneOf(const ResultHandle &handle) const;
     http::Awaitable<void> forward();
+    [[nodiscard]] std::variant<ListedEndpoint, NoEndpointChosen> chooseEndpoint(EndpointQuery &query);
+    [[nodiscard]] std::optional<AnswerTimes> answerTimes() const;
     http::Awaitable<SendReport> sendOnce(const ListedEndpoint &endpoint, const EndpointQuery &query);
     http::Awaitable<SendReport> exchangeWith(http::ClientConnection &connection, http::Request request,
                                              Duration patience);
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -88,6 +88,7 @@
       m_operators(m_io, *m_store, *this, m_random, documentOptions()),
       m_endpoints(m_io, *m_store, *this, m_random, endpointOptions(settings.store)),
       m_daemons(m_io, *m_store, *this, m_random, daemonOptions()),
+      m_rollouts(m_io, clock, *m_store, documents, *this, m_random),
       m_directory(settings.store.lapseGrace),
       m_self(entryOf(settings, clock)),
       m_announceTimer(m_io),
@@ -123,6 +124,7 @@
         m_operators.stop();
         m_endpoints.stop();
         m_daemons.stop();
+        m_rollouts.stop();
         m_io.stop();
     });
     m_thread.join();
@@ -142,9 +144,12 @@
             takeDaemon(change);
             break;
         case StoreTable::Status:
-            break;
+            break; // Taken as a whole below.
         }
     }
+    if (table == StoreTable::Status) {
+        m_rollouts.takeChanges(changes, complete);
+    }
     m_endpointsRead = m_endpointsRead || (table == StoreTable::Endpoints && complete);
     publish();
 }
@@ -161,6 +166,10 @@
         logEvent(LogLevel::Info, change.value ? "zone-closed" : "zone-open").with("zone", name.name);
         return;
     }
+    if (name.kind == DocumentName::Kind::Rollout) {
+        takeRollout(change);
+        return;
+    }
     if (name.kind != DocumentName::Kind::Configuration || !change.value) {
         return;
     }
@@ -179,6 +188,20 @@
         .with("routes", m_configuration->parts().routes.size());
 }
 
+// An order that is dropped stays in force: whether its target is sound is still open.
+void GatewayControl::takeRollout(const KeyedChange &change)
+{
+    if (!change.value) {
+        return;
+    }
+    const auto order = m_documents.rollout(*change.value);
+    if (!order.ok()) {
+        noteUnreadable(StoreTable::OperatorDocuments, change.key, order.status());
+        return;
+    }
+    m_rollouts.takeOrder(*order, RolloutRecord(change.offset.value()));
+}
+
 void GatewayControl::takeEndpoint(const KeyedChange &change)
 {
     const EndpointId id(change.key);
@@ -255,6 +278,11 @@
     static_cast<void>(co_await m_store->append(StoreTable::Daemons, m_self.id.str(), std::nullopt, std::nullopt));
 }
 
+void GatewayControl::wantStatus(const WantedStatus &wanted)
+{
+    boost::asio::post(m_io, [this, wanted] { m_rollouts.want(wanted); });
+}
+
 void GatewayControl::leave()
 {
     boost::asio::post(m_io, [this] {
@@ -281,8 +309,12 @@
         view->closedZones.insert(zone);
     }
     for (const auto &[id, entry] : m_listedDaemons) {
+        if (id == m_self.id) {
+            m_rollouts.setRank(static_cast<int>(view->daemons.size()));
+        }
         view->daemons.push_back(entry);
     }
+    view->rollouts = m_rollouts.list();
     m_views.store(std::move(view));
     m_caughtUp = m_configuration != nullptr && m_endpointsRead;
     m_onView();
@@ -325,6 +357,9 @@
                 follower->restartRead();
             }
         }
+        if (table != StoreTable::Status) {
+            m_rollouts.storeRegained();
+        }
         logEvent(LogLevel::Info, "store-regained").with("table", storeTableName(table));
     }
 }
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
 #include "gateway/relayed_store.h"
+#include "gateway/rollout_status_loop.h"
 #include "http/client.h"
 
 #include <atomic>
@@ -39,6 +40,8 @@
     /// Takes this daemon's entry back, waiting for the store, but not for long, and
     /// ends the thread. Any thread but this one.
     void stop();
+    /// Has a rollout's status written. Any thread.
+    void wantStatus(const WantedStatus &wanted);
     [[nodiscard]] boost::asio::io_context &io()
     {
         return m_io;
@@ -55,6 +58,7 @@
     void storeFailed(StoreTable table, const absl::Status &status) override;
 
     void takeDocument(const KeyedChange &change);
+    void takeRollout(const KeyedChange &change);
     void takeEndpoint(const KeyedChange &change);
     void takeDaemon(const KeyedChange &change);
     http::Awaitable<void> announceLoop();
@@ -76,6 +80,7 @@
     KeyedFollower m_operators;
     KeyedFollower m_endpoints;
     KeyedFollower m_daemons;
+    RolloutStatusLoop m_rollouts;
     EndpointDirectory m_directory;
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::map<std::string, ZoneId> m_closedZones; ///< By the key of the order.
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -150,6 +150,7 @@
     GatewayControl control(
         clock, settings, adapter.documents, adapter.makeStore, **traffic, endpointTable, metrics, views,
         [&] { (*traffic)->viewChanged(); }, seed + 1);
+    (*traffic)->connectRollouts([&](const WantedStatus &wanted) { control.wantStatus(wanted); });
     std::atomic<bool> serving{true};
     SideServers sides(control.io(), metrics);
     if (const auto status = sides.listen(settings.listen, [&] { return serving && control.caughtUp(); });
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -19,6 +19,7 @@
 constexpr Range<Duration> kLeavingBound = {100ms, 2min};
 constexpr Range<Duration> kPeriod = {0ms, 1h};
 constexpr Range<double> kRatio = {0.0, 10.0};
+constexpr Range<double> kShare = {0.0, 1.0};
 constexpr Range<double> kCapacity = {1e-6, 1e6};
 constexpr Range<double> kExtra = {0.0, 1e9};
 
@@ -53,6 +54,15 @@
     return settings;
 }
 
+RolloutSettings readRollouts(ObjectReader reader)
+{
+    RolloutSettings settings;
+    reader.number("exposure_share", settings.exposureShare, kShare);
+    reader.number("exposure_slack", settings.exposureSlack, kExtra);
+    reader.finish();
+    return settings;
+}
+
 } // namespace
 
 Checked<GatewaySettings> GatewaySettings::parse(std::string_view file, std::string_view text)
@@ -68,6 +78,7 @@
     settings.listen = readListen(reader.object("listen"));
     settings.store = readStore(reader.object("store"));
     settings.secondSends = readSecondSends(reader.object("second_sends"));
+    settings.rollouts = readRollouts(reader.object("rollouts"));
     reader.duration("grace", settings.grace, kPeriod);
     reader.number("capacity", settings.capacity, kCapacity);
     settings.log = readLog(reader.object("log"));
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -34,6 +34,13 @@
     Duration window = std::chrono::seconds(10);
 };
 
+/// What a version whose rollout is not settled may get of its service's requests, over all
+/// daemons.
+struct RolloutSettings {
+    double exposureShare = 0.1;
+    double exposureSlack = 50.0; ///< Requests besides.
+};
+
 /// Settings of one daemon that forwards requests on a deployment whose store
 /// holds configuration, endpoints and orders.
 struct GatewaySettings {
@@ -41,6 +48,7 @@
     GatewayListenSettings listen;
     StoreSettings store;
     SecondSendSettings secondSends;
+    RolloutSettings rollouts;
     Duration grace = std::chrono::seconds(8); ///< From SIGTERM to the platform's SIGKILL.
     double capacity = 1.0; ///< Of the instance, relative to others of the deployment; above 0.
     LogSettings log;
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -66,7 +66,10 @@
       m_pool(*m_io, shared.clock, {}),
       m_stages(*m_io, shared.clock, shared.protocol, m_pool, shared.metrics),
       m_secondSendSettings(shared.settings.secondSends),
-      m_metrics(shared.metrics)
+      m_metrics(shared.metrics),
+      m_rollouts(*m_io, shared.clock, shared.settings.instance.id, seed,
+                 {shared.settings.rollouts.exposureShare, shared.settings.rollouts.exposureSlack}, shared.metrics,
+                 m_random)
 {
 }
 
@@ -75,7 +78,7 @@
     m_context = std::make_unique<ForwardContext>(
         ForwardContext{*m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector,
                        m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics, m_affinities,
-                       m_random, m_stop, m_shared.settings.instance.zone});
+                       m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
 }
 
 GatewayTraffic::~GatewayTraffic()
@@ -83,6 +86,7 @@
     stop();
     // Requests still open are coroutines held by m_io and use the other members.
     m_server.reset();
+    m_rollouts.stop();
     m_router.reset();
     m_pool.clear();
     m_io.reset();
@@ -158,11 +162,33 @@
     m_selector.setDaemons(static_cast<int>(daemons), static_cast<int>(rank));
     m_selector.setListing(view->endpoints, *view->configuration, view->closedZones, m_shared.clock.now());
     m_context->secondSendOptions = secondSendOptions(m_secondSendSettings, daemons);
-    m_stages.setView(*view);
     m_router->setDaemons(view->daemons);
+    m_rollouts.setView(*view);
+    setStages(*view);
     m_server->setLimits(serverOptions(view->configuration->parts().limits));
 }
 
+// Calls for stages keep to the versions that their service's rollout admits.
+void GatewayTraffic::setStages(const GatewayView &view)
+{
+    if (view.rollouts.empty()) {
+        m_stages.setView(view);
+        return;
+    }
+    auto stages = view;
+    std::erase_if(stages.endpoints, [this](const ListedEndpoint &endpoint) {
+        const auto filter = m_rollouts.stageVersion(endpoint.info.service);
+        return filter && !filter->admits(endpoint.info.version);
+    });
+    m_stages.setView(stages);
+}
+
+void GatewayTraffic::connectRollouts(std::function<void(const WantedStatus &)> wantStatus)
+{
+    m_router->setRollouts(m_rollouts);
+    m_rollouts.connect(*m_router, {std::move(wantStatus), [this] { setStages(*m_shared.views.load()); }});
+}
+
 http::Awaitable<void> GatewayTraffic::handle(http::Exchange &exchange)
 {
     ForwardedRequest request(*m_context, exchange);
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -36,6 +36,8 @@
     void queryTable(StoreTable table, StoreOffset from, AnswerCallback onAnswer) override;
     /// The view has changed. Any thread.
     void viewChanged();
+    /// To be called before start(). \a wantStatus is called on the traffic thread.
+    void connectRollouts(std::function<void(const WantedStatus &)> wantStatus);
     /// The shared budget of second sends has changed. Any thread.
     void setSecondSends(const SecondSendSettings &settings);
     /// Ends each caller's connection with its next answer. Any thread.
@@ -57,6 +59,7 @@
     http::Awaitable<void> handle(http::Exchange &exchange);
     void makeContext();
     void takeView();
+    void setStages(const GatewayView &view);
 
     const GatewayShared m_shared;
     std::unique_ptr<boost::asio::io_context> m_io;
@@ -71,6 +74,7 @@
     UsualTimes m_usual;
     ForwardMetrics m_metrics;
     std::map<RouteId, PromptAffinity> m_affinities;
+    RolloutDirector m_rollouts;
     StopState m_stop;
     std::unique_ptr<ForwardContext> m_context;
     std::shared_ptr<http::Server> m_server;
--- a/src/gateway/gateway_view.h
+++ b/src/gateway/gateway_view.h
@@ -4,6 +4,7 @@
 #include "gateway/document_reader.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -12,10 +13,18 @@
 
 /// What the traffic thread reads of the control state; immutable once published.
 struct GatewayView {
+    /// The newest rollout order of a service.
+    struct Rollout {
+        RolloutId id;
+        Duration duration{}; ///< From the order to the time by which it must be settled.
+        std::optional<RolloutStage> status; ///< Of this order, as the store holds it.
+    };
+
     std::shared_ptr<const GatewayConfiguration> configuration; ///< Null until one was read.
     std::vector<ListedEndpoint> endpoints;
     std::set<ZoneId> closedZones; ///< Operators have taken them out.
     std::vector<DaemonEntry> daemons; ///< By id; this one included.
+    std::vector<Rollout> rollouts; ///< One for each service at most.
 };
 
 using GatewayViews = Published<GatewayView>;
--- /dev/null
+++ b/src/gateway/rollout_director.cc
@@ -0,0 +1,389 @@
+// Each daemon holds the split of each service under a rollout and counts outcomes. It
+// reports them to the service's coordinator some times a second, whose answer is the
+// phase for all; without an answer for a while, the daemon sends the target nothing.
+// What it finds by its own counts it obeys at once.
+//
+// The status in the store is final: a daemon that reads it there obeys it, whatever the
+// coordinator says.
+
+#include "gateway/rollout_director.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace mimosahub
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Duration kTick = 300ms;
+constexpr double kTickSpread = 0.2;
+constexpr const char *kAnyZone = "any"; ///< Outcomes are compared by route only.
+constexpr int kAllDaemons = std::numeric_limits<int>::max(); ///< More than ever report to a judge of own counts.
+constexpr Duration kNewsAge = 2s; ///< Without a decision for so long, a daemon pauses.
+
+SplitPhase phaseOf(RolloutStage stage)
+{
+    return stage == RolloutStage::Completed ? SplitPhase::Completed : SplitPhase::RolledBack;
+}
+
+} // namespace
+
+RolloutDirector::RolloutDirector(boost::asio::io_context &io, const Clock &clock, InstanceId self,
+                                 std::uint64_t incarnation, const ExposureLimit &limit, MetricRegistry &metrics,
+                                 Random &random)
+    : m_clock(clock),
+      m_self(std::move(self)),
+      m_incarnation(incarnation),
+      m_limit(limit),
+      m_random(random),
+      m_timer(io),
+      m_targetSends(metrics.counter("mimosahub_rollout_target_sends_total",
+                                    "Sends to the target of a rollout that was not settled.")),
+      m_rolledBack(metrics.counter("mimosahub_rollout_rollbacks_total", "Rollouts that were rolled back.")),
+      m_unsettled(metrics.gauge("mimosahub_rollouts_unsettled", "Rollouts that are not settled."))
+{
+}
+
+void RolloutDirector::connect(RolloutPeers &peers, Callbacks callbacks)
+{
+    m_peers = &peers;
+    m_callbacks = std::move(callbacks);
+}
+
+RolloutDirector::Active *RolloutDirector::find(const ServiceId &service)
+{
+    const auto it = m_active.find(service);
+    return it == m_active.end() ? nullptr : it->second.get();
+}
+
+const RolloutDirector::Active *RolloutDirector::find(const ServiceId &service) const
+{
+    const auto it = m_active.find(service);
+    return it == m_active.end() ? nullptr : it->second.get();
+}
+
+void RolloutDirector::setView(const GatewayView &view)
+{
+    m_daemons = std::max(1, static_cast<int>(view.daemons.size()));
+    for (const auto &order : view.rollouts) {
+        takeOrder(order);
+    }
+    for (const auto &[service, active] : m_active) {
+        bool target = false;
+        bool old = false;
+        for (const auto &endpoint : view.endpoints) {
+            if (endpoint.info.service == service) {
+                (endpoint.info.version == active->rollout.target ? target : old) = true;
+            }
+        }
+        active->sharesTraffic = target && old;
+        active->split.setDaemons(m_daemons);
+    }
+    armTick();
+}
+
+void RolloutDirector::takeOrder(const GatewayView::Rollout &order)
+{
+    const auto now = m_clock.now();
+    auto &active = m_active[order.id.service];
+    if (!active || active->rollout != order.id) {
+        active = std::make_unique<Active>(order, m_limit, now);
+        active->newsAt = now - kNewsAge;
+        logEvent(LogLevel::Info, "rollout-begun")
+            .with("service", order.id.service)
+            .with("target", order.id.target)
+            .with("order", order.id.record)
+            .with("duration", order.duration);
+    }
+    active->status = order.status;
+    if (order.status && *order.status != RolloutStage::Running) {
+        enter(*active, phaseOf(*order.status), "the status in the store");
+    }
+}
+
+std::optional<VersionFilter> RolloutDirector::drawVersion(const ServiceId &service)
+{
+    const auto *active = find(service);
+    if (active == nullptr || (!active->sharesTraffic && active->split.phase() != SplitPhase::RolledBack)) {
+        return std::nullopt;
+    }
+    return VersionFilter{active->rollout.target, active->split.drawTarget(m_random)};
+}
+
+bool RolloutDirector::mayUseOther(const ServiceId &service, const VersionFilter &filter) const
+{
+    const auto *active = find(service);
+    return active == nullptr || filter.wanted || active->split.mayUseTarget();
+}
+
+std::optional<VersionFilter> RolloutDirector::stageVersion(const ServiceId &service) const
+{
+    const auto *active = find(service);
+    if (active == nullptr || !active->sharesTraffic) {
+        return std::nullopt;
+    }
+    const auto phase = active->split.phase();
+    return VersionFilter{active->rollout.target, phase == SplitPhase::Completed};
+}
+
+void RolloutDirector::armTick()
+{
+    const auto unsettled = std::count_if(m_active.begin(), m_active.end(), [](const auto &item) {
+        return !isSettled(item.second->split.phase()) || !item.second->status
+            || *item.second->status == RolloutStage::Running;
+    });
+    m_unsettled.set(static_cast<double>(unsettled));
+    if (m_armed || unsettled == 0 || !m_timer) {
+        return;
+    }
+    m_armed = true;
+    m_timer->expires_after(m_random.jitter(kTick, kTickSpread));
+    m_timer->async_wait([this](const boost::system::error_code &ec) {
+        if (!ec) {
+            m_armed = false;
+            tick();
+        }
+    });
+}
+
+void RolloutDirector::tick()
+{
+    for (const auto &[service, active] : m_active) {
+        look(*active);
+    }
+    armTick();
+}
+
+void RolloutDirector::look(Active &active)
+{
+    const auto now = m_clock.now();
+    if (!isSettled(active.split.phase())) {
+        const auto own = reportOf(active);
+        active.own.take(own, now);
+        const auto &finding = active.own.decide(kAllDaemons, now);
+        if (finding.phase == SplitPhase::RolledBack) {
+            active.fault = finding.reason;
+            enter(active, SplitPhase::RolledBack, finding.reason);
+        }
+    }
+    exchange(active);
+    if (!isSettled(active.split.phase()) && now - active.newsAt > kNewsAge) {
+        enter(active, SplitPhase::Paused, "no news from the coordinator");
+    }
+    requestStatus(active);
+}
+
+// A daemon that has found a fault goes on reporting until the status shows it.
+void RolloutDirector::exchange(Active &active)
+{
+    if (active.status && *active.status != RolloutStage::Running) {
+        return;
+    }
+    const auto report = reportOf(active);
+    if (m_peers->coordinates(active.rollout.service)) {
+        if (const auto decision = takeReport(report)) {
+            takeDecision(active, *decision);
+        }
+        return;
+    }
+    m_peers->report(report, [this, rollout = active.rollout](const std::optional<SplitDecision> &decision) {
+        auto *known = find(rollout.service);
+        if (decision && known != nullptr && known->rollout == rollout) {
+            takeDecision(*known, *decision);
+        }
+    });
+}
+
+SplitReport RolloutDirector::reportOf(const Active &active) const
+{
+    SplitReport report;
+    report.rollout = active.rollout;
+    report.daemon = m_self;
+    report.incarnation = m_incarnation;
+    report.elapsed = m_clock.now() - active.begin;
+    report.phase = active.split.phase();
+    report.fault = report.phase == SplitPhase::RolledBack ? active.reason : active.fault;
+    report.counts = active.counts;
+    return report;
+}
+
+std::optional<SplitDecision> RolloutDirector::takeReport(const SplitReport &report)
+{
+    auto *active = find(report.rollout.service);
+    if (active == nullptr || active->rollout != report.rollout) {
+        return std::nullopt;
+    }
+    if (isSettled(active->split.phase())) {
+        return SplitDecision{active->split.phase(), active->reason};
+    }
+    const auto now = m_clock.now();
+    active->judge.take(report, now);
+    return active->judge.decide(m_daemons, now);
+}
+
+void RolloutDirector::takeDecision(Active &active, const SplitDecision &decision)
+{
+    active.newsAt = m_clock.now();
+    // Without the status it isn't known whether the order was settled before.
+    if (!active.status && !isSettled(decision.phase)) {
+        return;
+    }
+    enter(active, decision.phase, decision.reason);
+}
+
+void RolloutDirector::enter(Active &active, SplitPhase phase, const std::string &reason)
+{
+    const auto before = active.split.phase();
+    const bool storeSays = active.status && *active.status != RolloutStage::Running;
+    if (phase == before || (isSettled(before) && !storeSays)) {
+        return;
+    }
+    active.split.setPhase(phase);
+    active.reason = reason;
+    const auto sum = [&] {
+        RouteOutcomes all;
+        for (const auto &[route, outcomes] : active.counts) {
+            all += outcomes;
+        }
+        return all;
+    }();
+    m_rolledBack.add(phase == SplitPhase::RolledBack ? 1 : 0);
+    const std::string_view event = phase == SplitPhase::RolledBack ? "rollout-rolled-back"
+        : phase == SplitPhase::Completed                           ? "rollout-completed"
+                                                                   : "rollout-phase";
+    logEvent(LogLevel::Info, event)
+        .with("service", active.rollout.service)
+        .with("target", active.rollout.target)
+        .with("phase", splitPhaseName(phase))
+        .with("before", splitPhaseName(before))
+        .with("reason", reason)
+        .with("elapsed", Duration(m_clock.now() - active.begin))
+        .with("target_sends", active.split.targetSends())
+        .with("old_sends", active.split.oldSends())
+        .with("target_outcomes", sum.to.finished)
+        .with("target_failed", sum.to.failed)
+        .with("target_slow", sum.to.slow)
+        .with("old_outcomes", sum.from.finished)
+        .with("old_failed", sum.from.failed)
+        .with("old_slow", sum.from.slow);
+    m_callbacks.phaseChanged();
+}
+
+void RolloutDirector::requestStatus(const Active &active)
+{
+    const auto phase = active.split.phase();
+    const bool coordinates = m_peers->coordinates(active.rollout.service);
+    if (active.status && *active.status != RolloutStage::Running) {
+        return;
+    }
+    if (isSettled(phase)) {
+        const auto stage = phase == SplitPhase::Completed ? RolloutStage::Completed : RolloutStage::RolledBack;
+        m_callbacks.wantStatus({active.rollout, stage, coordinates});
+    } else if (!active.status) {
+        m_callbacks.wantStatus({active.rollout, RolloutStage::Running, coordinates});
+    }
+}
+
+CountedSend::CountedSend(RolloutDirector &director, const EndpointInfo &endpoint, RouteId route, bool cold)
+    : m_director(director),
+      m_service(endpoint.service),
+      m_route(std::move(route)),
+      m_cold(cold),
+      m_begin(director.m_clock.now())
+{
+    if (auto *known = director.find(m_service)) {
+        m_rollout = known->rollout;
+        m_toTarget = endpoint.version == m_rollout.target;
+        if (m_toTarget) {
+            known->split.recordTargetSend();
+            director.m_targetSends.add(isSettled(known->split.phase()) ? 0 : 1);
+        }
+    }
+}
+
+CountedSend::~CountedSend()
+{
+    if (m_ended) {
+        return;
+    }
+    auto *known = active();
+    if (known != nullptr && !m_toTarget) {
+        known->split.recordOldSend();
+    }
+    if (isLate()) {
+        count(false, true);
+    }
+}
+
+RolloutDirector::Active *CountedSend::active()
+{
+    auto *known = m_director.find(m_service);
+    return known != nullptr && known->rollout == m_rollout ? known : nullptr;
+}
+
+void CountedSend::end(SendResult result, const std::optional<AnswerTimes> &times)
+{
+    m_ended = true;
+    auto *known = active();
+    if (known != nullptr && !m_toTarget && result != SendResult::Unreachable) {
+        known->split.recordOldSend();
+    }
+    switch (result) {
+    case SendResult::Answered:
+        if (times) {
+            answered(*times);
+        }
+        break;
+    case SendResult::ServerError:
+        count(true, false);
+        break;
+    case SendResult::Lost:
+        if (times || !isLate()) {
+            count(true, false);
+        } else {
+            count(false, true);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void CountedSend::answered(const AnswerTimes &times)
+{
+    const auto slow = m_director.m_limits.isSlow(m_route, times);
+    if (!m_toTarget && !m_cold) {
+        m_director.m_limits.record(m_route, times);
+    }
+    if (slow && !m_cold) {
+        count(false, *slow);
+    }
+}
+
+bool CountedSend::isLate() const
+{
+    const auto limit = m_director.m_limits.firstLimit(m_route);
+    return limit && !m_cold && m_director.m_clock.now() - m_begin > *limit;
+}
+
+void CountedSend::count(bool failed, bool slow)
+{
+    auto *known = active();
+    if (known == nullptr) {
+        return;
+    }
+    auto &route = known->counts[RouteKey{m_route.str(), ZoneId(kAnyZone)}];
+    auto &version = m_toTarget ? route.to : route.from;
+    ++version.finished;
+    version.failed += failed ? 1 : 0;
+    version.slow += slow ? 1 : 0;
+}
+
+} // namespace mimosahub
--- /dev/null
+++ b/src/gateway/rollout_director.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "forward/answer_times.h"
+#include "forward/endpoint_selector.h"
+#include "forward/send_policy.h"
+#include "forward/split_judge.h"
+#include "gateway/gateway_view.h"
+#include "gateway/wanted_status.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace mimosahub
+{
+
+/// Where reports on rollouts go. Traffic thread only.
+class RolloutPeers
+{
+public:
+    using AnswerCallback = std::function<void(const std::optional<SplitDecision> &)>;
+
+    virtual ~RolloutPeers() = default;
+    /// Whether this daemon coordinates the rollouts of \a service.
+    [[nodiscard]] virtual bool coordinates(const ServiceId &service) const = 0;
+    /// Reports to the coordinator. \a onAnswer gets its decision; absent if it knows no
+    /// such order or doesn't answer.
+    virtual void report(const SplitReport &report, AnswerCallback onAnswer) = 0;
+};
+
+/// Splits the requests of services under a rollout, counts outcomes by version, and
+/// exchanges them with the other daemons. Traffic thread only.
+class RolloutDirector
+{
+public:
+    struct Callbacks {
+        std::function<void(const WantedStatus &)> wantStatus; ///< Called again and again until the view shows it.
+        std::function<void()> phaseChanged;
+    };
+
+    /// All arguments must outlive this object.
+    RolloutDirector(boost::asio::io_context &io, const Clock &clock, InstanceId self, std::uint64_t incarnation,
+                    const ExposureLimit &limit, MetricRegistry &metrics, Random &random);
+
+    /// To be called before any other function.
+    void connect(RolloutPeers &peers, Callbacks callbacks);
+    /// Ends the exchange with other daemons; to be called before the io context ends.
+    void stop()
+    {
+        m_timer.reset();
+    }
+    /// Takes orders, their status, and the versions of endpoints.
+    void setView(const GatewayView &view);
+
+    /// Which versions the next send of \a service may go to; absent: any.
+    [[nodiscard]] std::optional<VersionFilter> drawVersion(const ServiceId &service);
+    /// Whether the send may go to the other side of \a filter, where nothing fits it.
+    [[nodiscard]] bool mayUseOther(const ServiceId &service, const VersionFilter &filter) const;
+    /// The versions that calls for stages of \a service may go to; absent: any.
+    [[nodiscard]] std::optional<VersionFilter> stageVersion(const ServiceId &service) const;
+    /// Handles the report of another daemon. Absent: this daemon knows no such order.
+    [[nodiscard]] std::optional<SplitDecision> takeReport(const SplitReport &report);
+
+private:
+    friend class CountedSend;
+
+    /// A service under a rollout.
+    struct Active {
+        Active(const GatewayView::Rollout &order, const ExposureLimit &limit, TimePoint now)
+            : rollout(order.id),
+              duration(order.duration),
+              split(limit),
+              begin(now),
+              judge(order.duration),
+              own(order.duration)
+        {
+        }
+        RolloutId rollout;
+        Duration duration;
+        VersionSplit split;
+        TimePoint begin;
+        SplitJudge judge; ///< Of all daemons' reports, while this daemon coordinates.
+        SplitJudge own; ///< Of this daemon's counts only.
+        RolloutCounts counts;
+        std::string fault; ///< Found by this daemon.
+        std::string reason; ///< Of the phase.
+        TimePoint newsAt; ///< Of the last decision by the coordinator.
+        std::optional<RolloutStage> status; ///< As the store holds it.
+        bool sharesTraffic = false; ///< Endpoints both of the target and of other versions are listed.
+    };
+
+    [[nodiscard]] Active *find(const ServiceId &service);
+    [[nodiscard]] const Active *find(const ServiceId &service) const;
+    void takeOrder(const GatewayView::Rollout &order);
+    void tick();
+    void armTick();
+    void look(Active &active);
+    void exchange(Active &active);
+    void takeDecision(Active &active, const SplitDecision &decision);
+    void enter(Active &active, SplitPhase phase, const std::string &reason);
+    void requestStatus(const Active &active);
+    [[nodiscard]] SplitReport reportOf(const Active &active) const;
+
+    const Clock &m_clock;
+    InstanceId m_self;
+    std::uint64_t m_incarnation;
+    ExposureLimit m_limit;
+    Random &m_random;
+    RolloutPeers *m_peers = nullptr;
+    Callbacks m_callbacks;
+    std::optional<boost::asio::steady_timer> m_timer; ///< Absent once stopped.
+    bool m_armed = false;
+    std::map<ServiceId, std::unique_ptr<Active>> m_active;
+    SlowLimits m_limits;
+    int m_daemons = 1;
+    Counter &m_targetSends;
+    Counter &m_rolledBack;
+    Gauge &m_unsettled;
+};
+
+/// One send of a request while it is under way. Destroying it without end() counts it as
+/// given up by its caller.
+class CountedSend
+{
+public:
+    /// \a cold: the endpoint is slow since it has just started.
+    CountedSend(RolloutDirector &director, const EndpointInfo &endpoint, RouteId route, bool cold);
+    ~CountedSend();
+    CountedSend(const CountedSend &) = delete;
+    CountedSend &operator=(const CountedSend &) = delete;
+
+    /// Records how the send ended. \a times is absent if no event or whole answer came.
+    void end(SendResult result, const std::optional<AnswerTimes> &times);
+
+private:
+    void count(bool failed, bool slow);
+    void answered(const AnswerTimes &times);
+    [[nodiscard]] bool isLate() const;
+    [[nodiscard]] RolloutDirector::Active *active();
+
+    RolloutDirector &m_director;
+    RolloutId m_rollout; ///< Empty without one.
+    ServiceId m_service;
+    RouteId m_route;
+    bool m_toTarget = false;
+    bool m_cold;
+    bool m_ended = false;
+    TimePoint m_begin;
+};
+
+} // namespace mimosahub
--- /dev/null
+++ b/src/gateway/rollout_status_loop.cc
@@ -0,0 +1,133 @@
+// On days without rollouts the table isn't read, since every call of the store costs.
+
+#include "gateway/rollout_status_loop.h"
+
+#include "base/log.h"
+#include "http/spawn.h"
+
+namespace mimosahub
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Duration kIdle = 1h; ///< Until a wish wakes the loop.
+constexpr Duration kWritePause = 150ms; ///< After a write, until the follower has met it.
+
+KeyedFollowerOptions statusOptions()
+{
+    KeyedFollowerOptions options;
+    options.table = StoreTable::Status;
+    return options;
+}
+
+std::string_view appendResultName(AppendResult result)
+{
+    switch (result) {
+    case AppendResult::Appended:
+        return "appended";
+    case AppendResult::Conflict:
+        return "conflict";
+    case AppendResult::Refused:
+        return "refused";
+    case AppendResult::Lost:
+        return "lost";
+    }
+    return "";
+}
+
+} // namespace
+
+RolloutStatusLoop::RolloutStatusLoop(boost::asio::io_context &io, const Clock &clock, KeyedStore &store,
+                                     const DocumentReader &documents, KeyedFollower::Listener &listener, Random &random)
+    : m_io(io),
+      m_clock(clock),
+      m_store(store),
+      m_documents(documents),
+      m_follower(io, store, listener, random, statusOptions()),
+      m_timer(io)
+{
+}
+
+void RolloutStatusLoop::takeOrder(const RolloutOrder &order, RolloutRecord record)
+{
+    m_statuses.takeOrder(order, record);
+    if (!m_started) {
+        m_started = true;
+        m_follower.start();
+        http::spawn(m_io, loop());
+    }
+}
+
+void RolloutStatusLoop::takeChanges(const std::vector<KeyedChange> &changes, bool complete)
+{
+    for (const auto &change : changes) {
+        if (!change.value) {
+            continue;
+        }
+        const auto report = m_documents.status(change.key, *change.value);
+        if (!report.ok()) {
+            logEvent(LogLevel::Warning, "status-unreadable").with("key", change.key).with(report.status());
+            continue;
+        }
+        m_statuses.takeStatus(*report);
+    }
+    if (complete) {
+        m_statuses.setComplete();
+    }
+}
+
+void RolloutStatusLoop::want(const WantedStatus &wanted)
+{
+    m_statuses.want(wanted, m_clock.now());
+    m_timer.cancel();
+}
+
+void RolloutStatusLoop::storeRegained()
+{
+    if (m_started) {
+        m_follower.restartRead();
+    }
+}
+
+void RolloutStatusLoop::stop()
+{
+    m_stopped = true;
+    m_follower.stop();
+    m_timer.cancel();
+}
+
+http::Awaitable<void> RolloutStatusLoop::loop()
+{
+    while (!m_stopped) {
+        auto report = m_statuses.nextWrite(m_clock.now());
+        if (!report) {
+            m_timer.expires_after(kIdle);
+            co_await m_timer.async_wait(http::kTuple);
+            continue;
+        }
+        co_await write(std::move(*report));
+    }
+}
+
+http::Awaitable<void> RolloutStatusLoop::write(RolloutReport report)
+{
+    const auto end = m_follower.next();
+    const auto result = co_await m_store.append(StoreTable::Status, m_documents.statusKey(report.service),
+                                                m_documents.statusDocument(report), end);
+    logEvent(LogLevel::Info, "rollout-status")
+        .with("service", report.service)
+        .with("target", report.target)
+        .with("status", m_documents.statusDocument(report))
+        .with("at", end)
+        .with("result", appendResultName(result));
+    const auto until = m_clock.now() + kWritePause;
+    while (!m_stopped && m_clock.now() < until) { // A wish may wake the timer early.
+        m_timer.expires_after(until - m_clock.now());
+        co_await m_timer.async_wait(http::kTuple);
+    }
+}
+
+} // namespace mimosahub
--- /dev/null
+++ b/src/gateway/rollout_status_loop.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "follow/keyed_follower.h"
+#include "gateway/document_reader.h"
+#include "gateway/rollout_statuses.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace mimosahub
+{
+
+/// Follows the status of rollouts in the store, from the first order on, and writes it.
+/// Control thread only.
+class RolloutStatusLoop
+{
+public:
+    /// All arguments must outlive this object. \a listener gets the table's changes and
+    /// hands them to takeChanges().
+    RolloutStatusLoop(boost::asio::io_context &io, const Clock &clock, KeyedStore &store,
+                      const DocumentReader &documents, KeyedFollower::Listener &listener, Random &random);
+
+    void takeOrder(const RolloutOrder &order, RolloutRecord record);
+    /// Takes changes of the table of statuses. \a complete: all of them were read.
+    void takeChanges(const std::vector<KeyedChange> &changes, bool complete);
+    void want(const WantedStatus &wanted);
+    void setRank(int rank)
+    {
+        m_statuses.setRank(rank);
+    }
+    [[nodiscard]] std::vector<GatewayView::Rollout> list() const
+    {
+        return m_statuses.list();
+    }
+    /// The store answers again after it was lost.
+    void storeRegained();
+    void stop();
+
+private:
+    http::Awaitable<void> loop();
+    http::Awaitable<void> write(RolloutReport report);
+
+    boost::asio::io_context &m_io;
+    const Clock &m_clock;
+    KeyedStore &m_store;
+    const DocumentReader &m_documents;
+    KeyedFollower m_follower;
+    RolloutStatuses m_statuses;
+    boost::asio::steady_timer m_timer;
+    bool m_started = false;
+    bool m_stopped = false;
+};
+
+} // namespace mimosahub
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -18,6 +18,12 @@
 constexpr Duration kResultSlack = std::chrono::milliseconds(200); ///< After an order expires, until its call fails.
 constexpr int kMaxStarts = 4; ///< Of one order, with one daemon after the other.
 
+/// The daemon that it hashes to coordinates the rollouts of \a service.
+std::string rolloutKey(const ServiceId &service)
+{
+    return "rollout of " + service.str();
+}
+
 RpcOptions rpcOptions(const GatewaySettings &settings)
 {
     RpcOptions options;
@@ -329,6 +335,36 @@
     });
 }
 
+bool StageRouter::coordinates(const ServiceId &service) const
+{
+    return m_daemons.ownerOf(rolloutKey(service)) == m_self;
+}
+
+void StageRouter::report(const SplitReport &report, AnswerCallback onAnswer)
+{
+    const auto coordinator = m_daemons.ownerOf(rolloutKey(report.rollout.service));
+    const auto address = m_daemons.addressOf(coordinator);
+    if (!address) {
+        onAnswer(std::nullopt);
+        return;
+    }
+    m_service->reportSplit(*address, report, [this, coordinator, onAnswer = std::move(onAnswer)](const auto &answer) {
+        if (answer.ok()) {
+            m_daemons.recordResponse(coordinator, m_clock.now());
+        } else {
+            m_daemons.recordFailure(coordinator, m_clock.now());
+            armWatch();
+            logEvent(LogLevel::Warning, "coordinator-failed").with("daemon", coordinator).with(answer.status());
+        }
+        onAnswer(answer.ok() ? *answer : std::nullopt);
+    });
+}
+
+std::optional<SplitDecision> StageRouter::takeSplitReport(const SplitReport &report)
+{
+    return m_rollouts == nullptr ? std::nullopt : m_rollouts->takeReport(report);
+}
+
 std::optional<TableAnswer> StageRouter::readTable(StoreTable table, StoreOffset from)
 {
     return table == StoreTable::Endpoints ? m_endpointTable.answer(from, m_clock.now()) : std::nullopt;
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -4,6 +4,7 @@
 #include "follow/table_relay.h"
 #include "forward/daemon_directory.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/rollout_director.h"
 #include "gateway/stage_runner.h"
 #include "peer/stage_service.h"
 
@@ -19,7 +20,7 @@
 /// Has pieces made by the daemon that plans the calls of their service, so that
 /// pieces of all daemons gather in the same calls. An order whose daemon fails or
 /// falls silent goes to the next one. Traffic thread only.
-class StageRouter : public StageWork, private StageHandler
+class StageRouter : public StageWork, public RolloutPeers, private StageHandler
 {
 public:
     /// Opens the port for other daemons. All arguments must outlive the router.
@@ -32,6 +33,13 @@
 
     [[nodiscard]] std::unique_ptr<StageTicket> submit(const ServiceId &service, PieceOrder order, Done done) override;
     [[nodiscard]] BatchLoad load(const ServiceId &service) override;
+    /// Hands other daemons' reports on rollouts to \a director, which must outlive the router.
+    void setRollouts(RolloutDirector &director)
+    {
+        m_rollouts = &director;
+    }
+    [[nodiscard]] bool coordinates(const ServiceId &service) const override;
+    void report(const SplitReport &report, AnswerCallback onAnswer) override;
     /// As TableQueryClient::queryTable(); on the traffic thread.
     void askTable(StoreTable table, StoreOffset from, const TableQueryClient::AnswerCallback &onAnswer);
 
@@ -46,6 +54,7 @@
     void release(const ServiceId &service, const std::vector<ResultHandle> &handles) override;
     std::vector<ServiceLoad> loads() override;
     std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) override;
+    std::optional<SplitDecision> takeSplitReport(const SplitReport &report) override;
     void releaseRemote(const InstanceId &daemon, const Address &address, const ServiceId &service,
                        std::vector<ResultHandle> handles);
 
@@ -63,6 +72,7 @@
     std::string m_relayKey; ///< The daemon that it hashes to reads the store's tables for this one.
     StageRunner &m_runner;
     TableRelay &m_endpointTable;
+    RolloutDirector *m_rollouts = nullptr;
     DaemonDirectory m_daemons;
     std::map<ServiceId, BatchLoad> m_loads; ///< As other daemons said.
     std::set<ServiceId> m_planned; ///< Services for which this daemon plans.
--- a/src/peer/stage_codec.cc
+++ b/src/peer/stage_codec.cc
@@ -167,4 +167,89 @@
     return answer;
 }
 
+namespace
+{
+
+constexpr std::uint64_t kMaxOutcomes = std::uint64_t(1) << 40U; ///< Larger counts are clamped.
+
+void writeOutcomes(const VersionOutcomes &outcomes, wire::VersionOutcomes::Builder out)
+{
+    out.setFinished(static_cast<std::uint64_t>(outcomes.finished));
+    out.setFailed(static_cast<std::uint64_t>(outcomes.failed));
+    out.setSlow(static_cast<std::uint64_t>(outcomes.slow));
+}
+
+VersionOutcomes readOutcomes(wire::VersionOutcomes::Reader in)
+{
+    VersionOutcomes outcomes;
+    const auto finished = std::min(in.getFinished(), kMaxOutcomes);
+    outcomes.finished = static_cast<std::int64_t>(finished);
+    outcomes.failed = static_cast<std::int64_t>(std::min(in.getFailed(), finished));
+    outcomes.slow = static_cast<std::int64_t>(std::min(in.getSlow(), finished));
+    return outcomes;
+}
+
+SplitPhase readPhase(std::uint8_t phase)
+{
+    return phase <= static_cast<std::uint8_t>(SplitPhase::RolledBack) ? static_cast<SplitPhase>(phase)
+                                                                      : SplitPhase::Paused;
+}
+
+} // namespace
+
+void writeSplitReport(const SplitReport &report, wire::SplitReport::Builder out)
+{
+    out.setService(report.rollout.service.str());
+    out.setTarget(report.rollout.target.str());
+    out.setRecord(report.rollout.record.value());
+    out.setDaemon(report.daemon.str());
+    out.setIncarnation(report.incarnation);
+    out.setElapsedUs(toMicroseconds(report.elapsed));
+    out.setPhase(static_cast<std::uint8_t>(report.phase));
+    out.setFault(report.fault);
+    auto routes = out.initRoutes(static_cast<unsigned>(report.counts.size()));
+    unsigned at = 0;
+    for (const auto &[key, outcomes] : report.counts) {
+        auto route = routes[at++];
+        route.setCaller(key.caller);
+        route.setZone(key.zone.str());
+        writeOutcomes(outcomes.from, route.initFrom());
+        writeOutcomes(outcomes.to, route.initTo());
+    }
+}
+
+SplitReport readSplitReport(wire::SplitReport::Reader in)
+{
+    SplitReport report;
+    report.rollout.service = readId<ServiceId>(in.getService());
+    report.rollout.target = readId<VersionId>(in.getTarget());
+    report.rollout.record = RolloutRecord(in.getRecord());
+    report.daemon = readId<InstanceId>(in.getDaemon());
+    report.incarnation = in.getIncarnation();
+    report.elapsed = std::max(Duration::zero(), fromMicroseconds(in.getElapsedUs()));
+    report.phase = readPhase(in.getPhase());
+    report.fault = std::string(in.getFault().cStr(), in.getFault().size());
+    for (const auto route : in.getRoutes()) {
+        const RouteKey key{std::string(route.getCaller().cStr(), route.getCaller().size()),
+                           readId<ZoneId>(route.getZone())};
+        report.counts[key] = {readOutcomes(route.getFrom()), readOutcomes(route.getTo())};
+    }
+    return report;
+}
+
+void writeDecision(const SplitDecision &decision, wire::StageProtocol::ReportSplitResults::Builder out)
+{
+    out.setKnown(true);
+    out.setPhase(static_cast<std::uint8_t>(decision.phase));
+    out.setReason(decision.reason);
+}
+
+std::optional<SplitDecision> readDecision(wire::StageProtocol::ReportSplitResults::Reader in)
+{
+    if (!in.getKnown()) {
+        return std::nullopt;
+    }
+    return SplitDecision{readPhase(in.getPhase()), std::string(in.getReason().cStr(), in.getReason().size())};
+}
+
 } // namespace mimosahub
--- a/src/peer/stage_codec.h
+++ b/src/peer/stage_codec.h
@@ -23,4 +23,9 @@
 void writeAnswer(const TableAnswer &answer, wire::StageProtocol::ReadTableResults::Builder out);
 [[nodiscard]] std::optional<TableAnswer> readAnswer(wire::StageProtocol::ReadTableResults::Reader in);
 
+void writeSplitReport(const SplitReport &report, wire::SplitReport::Builder out);
+[[nodiscard]] SplitReport readSplitReport(wire::SplitReport::Reader in);
+void writeDecision(const SplitDecision &decision, wire::StageProtocol::ReportSplitResults::Builder out);
+[[nodiscard]] std::optional<SplitDecision> readDecision(wire::StageProtocol::ReportSplitResults::Reader in);
+
 } // namespace mimosahub
--- a/src/peer/stage_service.cc
+++ b/src/peer/stage_service.cc
@@ -96,6 +96,19 @@
             });
     }
 
+    kj::Promise<void> reportSplit(ReportSplitContext context) override
+    {
+        auto report = readSplitReport(context.getParams().getReport());
+        return runOnExecutor<std::optional<SplitDecision>>(
+                   m_executor, m_running,
+                   [this, report = std::move(report)]() { return m_handler.takeSplitReport(report); })
+            .then([context](const std::optional<SplitDecision> &decision) mutable {
+                if (decision) {
+                    writeDecision(*decision, context.getResults());
+                }
+            });
+    }
+
 private:
     RpcExecutor m_executor;
     std::shared_ptr<bool> m_running; ///< Executor's thread only.
@@ -187,6 +200,16 @@
         m_thread.call<std::optional<TableAnswer>>(peer, send, std::move(done));
     }
 
+    void reportSplit(const Address &peer, SplitReport report, RpcCallback<std::optional<SplitDecision>> done) override
+    {
+        const auto send = [report = std::move(report)](wire::StageProtocol::Client &protocol) {
+            auto call = protocol.reportSplitRequest();
+            writeSplitReport(report, call.initReport());
+            return call.send().then([](auto response) { return readDecision(response); });
+        };
+        m_thread.call<std::optional<SplitDecision>>(peer, send, std::move(done));
+    }
+
     [[nodiscard]] Address address() const override
     {
         return m_thread.address();
--- a/src/peer/stage_service.h
+++ b/src/peer/stage_service.h
@@ -2,6 +2,7 @@
 
 #include "follow/table_relay.h"
 #include "forward/batch_planner.h"
+#include "forward/split_judge.h"
 #include "peer/rpc_network.h"
 
 #include <absl/status/statusor.h>
@@ -50,6 +51,8 @@
     virtual std::vector<ServiceLoad> loads() = 0;
     /// The records from \a from on in \a table; absent if this daemon doesn't have them.
     virtual std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) = 0;
+    /// Takes the counts of a peer on a rollout. Absent: this daemon knows no such order.
+    virtual std::optional<SplitDecision> takeSplitReport(const SplitReport &report) = 0;
 };
 
 /// Server and clients of the stage protocol.
@@ -80,6 +83,9 @@
     /// have them.
     virtual void readTable(const Address &peer, StoreTable table, StoreOffset from,
                            RpcCallback<std::optional<TableAnswer>> done) = 0;
+    /// Reports to \a peer, which coordinates the rollout; absent if it knows no such order.
+    virtual void reportSplit(const Address &peer, SplitReport report,
+                             RpcCallback<std::optional<SplitDecision>> done) = 0;
     /// Address on which the service listens, with the port chosen by the system.
     [[nodiscard]] virtual Address address() const = 0;
     /// Closes all connections and ends the thread.
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -119,7 +119,15 @@
                            StoreOffset(31)};
     }
 
+    std::optional<SplitDecision> takeSplitReport(const SplitReport &report) override
+    {
+        reports.push_back(report);
+        return reports.size() > 1 ? std::nullopt
+                                  : std::optional(SplitDecision{SplitPhase::RolledBack, "half of it failed"});
+    }
+
     std::unique_ptr<StageService> service;
+    std::vector<SplitReport> reports;
     std::vector<ServiceId> services;
     std::vector<PieceOrder> orders;
     std::vector<OrderDone> pendingCallbacks;
@@ -163,6 +171,41 @@
     caller.onThread([&] { call.reset(); });
 }
 
+Test(stage_service, a_rollout_report_reaches_the_coordinator_and_its_decision_returns)
+{
+    Node daemon;
+    Node coordinator;
+    SplitReport report;
+    report.rollout = {ServiceId("s"), VersionId("v2"), RolloutRecord(9)};
+    report.daemon = InstanceId("d1");
+    report.incarnation = 7;
+    report.elapsed = 1500ms;
+    report.phase = SplitPhase::LoadTest;
+    report.fault = "slow";
+    report.counts[{"chat", ZoneId("any")}] = {{30, 2, 1}, {10, 5, 4}};
+    std::vector<absl::StatusOr<std::optional<SplitDecision>>> answers;
+    for (int i = 0; i < 2; ++i) {
+        std::promise<void> answered;
+        daemon.onThread([&] {
+            daemon.service->reportSplit(coordinator.service->address(), report, [&](auto answer) {
+                answers.push_back(std::move(answer));
+                answered.set_value();
+            });
+        });
+        answered.get_future().get();
+    }
+    cr_assert(answers[0].ok() && answers[0]->has_value());
+    cr_assert(answers[0]->value().phase == SplitPhase::RolledBack && answers[0]->value().reason == "half of it failed");
+    cr_assert(answers[1].ok() && !answers[1]->has_value());
+    coordinator.onThread([&] {
+        const auto &seen = coordinator.reports.at(0);
+        cr_assert(seen.rollout == report.rollout && seen.daemon == report.daemon && seen.incarnation == 7);
+        cr_assert(seen.elapsed == 1500ms && seen.phase == SplitPhase::LoadTest && seen.fault == "slow");
+        cr_assert(seen.counts.at({"chat", ZoneId("any")}).to == (VersionOutcomes{10, 5, 4}));
+        cr_assert(seen.counts.at({"chat", ZoneId("any")}).from == (VersionOutcomes{30, 2, 1}));
+    });
+}
+
 Test(stage_service, canceling_a_call_cancels_the_order_at_the_peer)
 {
     Node caller;
--- a/src/wire/stage.capnp.cc
+++ b/src/wire/stage.capnp.cc
@@ -525,7 +525,346 @@
   0, 4, i_c734c246e6ee85f6, nullptr, nullptr, { &s_c734c246e6ee85f6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<60> b_dc31c4e0e7d4eb1f = {
+static const ::capnp::_::AlignedData<64> b_961642094d74cd2c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     44, 205, 116,  77,   9,  66,  22, 150,
+     12,   0,   0,   0,   1,   0,   3,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  86, 101, 114, 115,
+    105, 111, 110,  79, 117, 116,  99, 111,
+    109, 101, 115,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    102, 105, 110, 105, 115, 104, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102,  97, 105, 108, 101, 100,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 108, 111, 119,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_961642094d74cd2c = b_961642094d74cd2c.words;
+#if !CAPNP_LITE
+static const uint16_t m_961642094d74cd2c[] = {1, 0, 2};
+static const uint16_t i_961642094d74cd2c[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_961642094d74cd2c = {
+  0x961642094d74cd2c, b_961642094d74cd2c.words, 64, nullptr, m_961642094d74cd2c,
+  0, 3, i_961642094d74cd2c, nullptr, nullptr, { &s_961642094d74cd2c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<78> b_beeb02f5241edfab = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    171, 223,  30,  36, 245,   2, 235, 190,
+     12,   0,   0,   0,   1,   0,   0,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      4,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  82, 111, 117, 116,
+    101,  79, 117, 116,  99, 111, 109, 101,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+     99,  97, 108, 108, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    122, 111, 110, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 114, 111, 109,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     44, 205, 116,  77,   9,  66,  22, 150,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     44, 205, 116,  77,   9,  66,  22, 150,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_beeb02f5241edfab = b_beeb02f5241edfab.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_beeb02f5241edfab[] = {
+  &s_961642094d74cd2c,
+};
+static const uint16_t m_beeb02f5241edfab[] = {0, 2, 3, 1};
+static const uint16_t i_beeb02f5241edfab[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_beeb02f5241edfab = {
+  0xbeeb02f5241edfab, b_beeb02f5241edfab.words, 78, d_beeb02f5241edfab, m_beeb02f5241edfab,
+  1, 4, i_beeb02f5241edfab, nullptr, nullptr, { &s_beeb02f5241edfab, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<158> b_bde789bdf74311bc = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    188,  17,  67, 247, 189, 137, 231, 189,
+     12,   0,   0,   0,   1,   0,   4,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      5,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 255,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 112, 108, 105,
+    116,  82, 101, 112, 111, 114, 116,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     36,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    237,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    232,   0,   0,   0,   3,   0,   1,   0,
+    244,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    241,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    236,   0,   0,   0,   3,   0,   1,   0,
+    248,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    245,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    240,   0,   0,   0,   3,   0,   1,   0,
+    252,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    249,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    244,   0,   0,   0,   3,   0,   1,   0,
+      0,   1,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    253,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    252,   0,   0,   0,   3,   0,   1,   0,
+      8,   1,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   1,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   1,   0,   0,   3,   0,   1,   0,
+     16,   1,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,  24,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   1,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   1,   0,   0,   3,   0,   1,   0,
+     20,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     17,   1,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   1,   0,   0,   3,   0,   1,   0,
+     24,   1,   0,   0,   2,   0,   1,   0,
+      8,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   8,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   1,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   1,   0,   0,   3,   0,   1,   0,
+     44,   1,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116,  97, 114, 103, 101, 116,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,  97, 101, 109, 111, 110,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 108,  97, 112, 115, 101, 100,  85,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 104,  97, 115, 101,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102,  97, 117, 108, 116,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 111, 117, 116, 101, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    171, 223,  30,  36, 245,   2, 235, 190,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_bde789bdf74311bc = b_bde789bdf74311bc.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_bde789bdf74311bc[] = {
+  &s_beeb02f5241edfab,
+};
+static const uint16_t m_bde789bdf74311bc[] = {3, 5, 7, 4, 6, 2, 8, 0, 1};
+static const uint16_t i_bde789bdf74311bc[] = {0, 1, 2, 3, 4, 5, 6, 7, 8};
+const ::capnp::_::RawSchema s_bde789bdf74311bc = {
+  0xbde789bdf74311bc, b_bde789bdf74311bc.words, 158, d_bde789bdf74311bc, m_bde789bdf74311bc,
+  1, 9, i_bde789bdf74311bc, nullptr, nullptr, { &s_bde789bdf74311bc, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<71> b_dc31c4e0e7d4eb1f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      31, 235, 212, 231, 224, 196,  49, 220,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -535,47 +874,55 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   1,   0,   0,
-    193,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,  71,   1,   0,   0,
+    237,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116,  97, 103, 101,  46,  99,  97,
     112, 110, 112,  58,  83, 116,  97, 103,
     101,  80, 114, 111, 116, 111,  99, 111,
     108,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     192, 214, 220,  95,  47, 170,  70, 194,
     169, 210, 116, 237,  13, 147, 238, 217,
-    113,   0,   0,   0,  34,   0,   0,   0,
+    145,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      14,  96,  15, 189,  10, 230, 251, 183,
      71,  59,  94, 155, 142, 255,  97, 248,
-     89,   0,   0,   0,  66,   0,   0,   0,
+    121,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     178,   1,  74, 227, 193, 237,  99, 173,
      22, 102, 180, 126, 119,   1, 225, 128,
-     65,   0,   0,   0,  42,   0,   0,   0,
+     97,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     222, 104,  84, 153, 127,  25, 232, 235,
     134, 212, 151,  45,  27, 212, 223, 174,
-     41,   0,   0,   0,  82,   0,   0,   0,
+     73,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+     65,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    253, 158, 148,  68, 174, 185,  64, 159,
+    213, 106, 142, 140,  47,  68, 231, 148,
+     53,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
     114, 117, 110,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 108, 101,  97, 115, 101,   0,
@@ -585,12 +932,17 @@
     114, 101,  97, 100,  84,  97,  98, 108,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,  83, 112,
+    108, 105, 116,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_dc31c4e0e7d4eb1f = b_dc31c4e0e7d4eb1f.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_dc31c4e0e7d4eb1f[] = {
   &s_80e101777eb46616,
+  &s_94e7442f8c8e6ad5,
+  &s_9f40b9ae44949efd,
   &s_ad63edc1e34a01b2,
   &s_aedfd41b2d97d486,
   &s_b7fbe60abd0f600e,
@@ -599,10 +951,10 @@
   &s_ebe8197f995468de,
   &s_f861ff8e9b5e3b47,
 };
-static const uint16_t m_dc31c4e0e7d4eb1f[] = {2, 3, 1, 0};
+static const uint16_t m_dc31c4e0e7d4eb1f[] = {2, 3, 1, 4, 0};
 const ::capnp::_::RawSchema s_dc31c4e0e7d4eb1f = {
-  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 60, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
-  8, 4, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
+  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 71, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
+  10, 5, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_c246aa2f5fdcd6c0 = {
@@ -1056,6 +1408,129 @@
   1, 5, i_aedfd41b2d97d486, nullptr, nullptr, { &s_aedfd41b2d97d486, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_9f40b9ae44949efd = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    253, 158, 148,  68, 174, 185,  64, 159,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 106,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 114, 101, 112, 111, 114, 116,
+     83, 112, 108, 105, 116,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    188,  17,  67, 247, 189, 137, 231, 189,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9f40b9ae44949efd = b_9f40b9ae44949efd.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9f40b9ae44949efd[] = {
+  &s_bde789bdf74311bc,
+};
+static const uint16_t m_9f40b9ae44949efd[] = {0};
+static const uint16_t i_9f40b9ae44949efd[] = {0};
+const ::capnp::_::RawSchema s_9f40b9ae44949efd = {
+  0x9f40b9ae44949efd, b_9f40b9ae44949efd.words, 34, d_9f40b9ae44949efd, m_9f40b9ae44949efd,
+  1, 1, i_9f40b9ae44949efd, nullptr, nullptr, { &s_9f40b9ae44949efd, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_94e7442f8c8e6ad5 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    213, 106, 142, 140,  47,  68, 231, 148,
+     26,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 114, 101, 112, 111, 114, 116,
+     83, 112, 108, 105, 116,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    107, 110, 111, 119, 110,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 104,  97, 115, 101,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  97, 115, 111, 110,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_94e7442f8c8e6ad5 = b_94e7442f8c8e6ad5.words;
+#if !CAPNP_LITE
+static const uint16_t m_94e7442f8c8e6ad5[] = {0, 1, 2};
+static const uint16_t i_94e7442f8c8e6ad5[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_94e7442f8c8e6ad5 = {
+  0x94e7442f8c8e6ad5, b_94e7442f8c8e6ad5.words, 64, nullptr, m_94e7442f8c8e6ad5,
+  0, 3, i_94e7442f8c8e6ad5, nullptr, nullptr, { &s_94e7442f8c8e6ad5, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1104,6 +1579,30 @@
 constexpr ::capnp::_::RawSchema const* TableRecord::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// VersionOutcomes
+constexpr uint16_t VersionOutcomes::_capnpPrivate::dataWordSize;
+constexpr uint16_t VersionOutcomes::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind VersionOutcomes::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* VersionOutcomes::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// RouteOutcomes
+constexpr uint16_t RouteOutcomes::_capnpPrivate::dataWordSize;
+constexpr uint16_t RouteOutcomes::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RouteOutcomes::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RouteOutcomes::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// SplitReport
+constexpr uint16_t SplitReport::_capnpPrivate::dataWordSize;
+constexpr uint16_t SplitReport::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SplitReport::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SplitReport::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults>
 StageProtocol::Client::runRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1145,6 +1644,16 @@
       "stage.capnp:StageProtocol", "readTable",
       0xdc31c4e0e7d4eb1full, 3);
 }
+::capnp::Request< ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults>
+StageProtocol::Client::reportSplitRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults>(
+      0xdc31c4e0e7d4eb1full, 4, sizeHint);
+}
+::kj::Promise<void> StageProtocol::Server::reportSplit(ReportSplitContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "stage.capnp:StageProtocol", "reportSplit",
+      0xdc31c4e0e7d4eb1full, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult StageProtocol::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1183,6 +1692,12 @@
              ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults>(context)),
         false
       };
+    case 4:
+      return {
+        reportSplit(::capnp::Capability::Server::internalGetTypedContext<
+             ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1262,6 +1777,22 @@
 constexpr ::capnp::_::RawSchema const* StageProtocol::ReadTableResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// StageProtocol::ReportSplitParams
+constexpr uint16_t StageProtocol::ReportSplitParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::ReportSplitParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::ReportSplitParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::ReportSplitParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StageProtocol::ReportSplitResults
+constexpr uint16_t StageProtocol::ReportSplitResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::ReportSplitResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::ReportSplitResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::ReportSplitResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -24,6 +24,9 @@
 CAPNP_DECLARE_SCHEMA(9c2323f9aa598f99);
 CAPNP_DECLARE_SCHEMA(dd5203c32501b4c6);
 CAPNP_DECLARE_SCHEMA(c734c246e6ee85f6);
+CAPNP_DECLARE_SCHEMA(961642094d74cd2c);
+CAPNP_DECLARE_SCHEMA(beeb02f5241edfab);
+CAPNP_DECLARE_SCHEMA(bde789bdf74311bc);
 CAPNP_DECLARE_SCHEMA(dc31c4e0e7d4eb1f);
 CAPNP_DECLARE_SCHEMA(c246aa2f5fdcd6c0);
 CAPNP_DECLARE_SCHEMA(d9ee930ded74d2a9);
@@ -33,6 +36,8 @@
 CAPNP_DECLARE_SCHEMA(80e101777eb46616);
 CAPNP_DECLARE_SCHEMA(ebe8197f995468de);
 CAPNP_DECLARE_SCHEMA(aedfd41b2d97d486);
+CAPNP_DECLARE_SCHEMA(9f40b9ae44949efd);
+CAPNP_DECLARE_SCHEMA(94e7442f8c8e6ad5);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -115,6 +120,51 @@
   };
 };
 
+struct VersionOutcomes {
+  VersionOutcomes() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(961642094d74cd2c, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RouteOutcomes {
+  RouteOutcomes() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(beeb02f5241edfab, 0, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SplitReport {
+  SplitReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bde789bdf74311bc, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StageProtocol {
   StageProtocol() = delete;
 
@@ -131,6 +181,8 @@
   struct PingResults;
   struct ReadTableParams;
   struct ReadTableResults;
+  struct ReportSplitParams;
+  struct ReportSplitResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -260,6 +312,36 @@
   };
 };
 
+struct StageProtocol::ReportSplitParams {
+  ReportSplitParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f40b9ae44949efd, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StageProtocol::ReportSplitResults {
+  ReportSplitResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(94e7442f8c8e6ad5, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ZoneBytes::Reader {
@@ -789,80 +871,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class StageProtocol::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef StageProtocol Calls;
-  typedef StageProtocol Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReleaseParams,  ::mimosahub::wire::StageProtocol::ReleaseResults> releaseRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults> readTableRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class StageProtocol::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef StageProtocol Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::mimosahub::wire::StageProtocol::RunParams RunParams;
-  typedef  ::mimosahub::wire::StageProtocol::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReleaseParams ReleaseParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReleaseResults ReleaseResults;
-  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
-  virtual ::kj::Promise<void> release(ReleaseContext context);
-  typedef  ::mimosahub::wire::StageProtocol::PingParams PingParams;
-  typedef  ::mimosahub::wire::StageProtocol::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReadTableParams ReadTableParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReadTableResults ReadTableResults;
-  typedef ::capnp::CallContext<ReadTableParams, ReadTableResults> ReadTableContext;
-  virtual ::kj::Promise<void> readTable(ReadTableContext context);
-
-  inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::mimosahub::wire::StageProtocol>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class StageProtocol::RunParams::Reader {
+class VersionOutcomes::Reader {
 public:
-  typedef RunParams Reads;
+  typedef VersionOutcomes Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -877,8 +888,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder() const;
-  inline  ::mimosahub::wire::PieceOrder::Reader getOrder() const;
+  inline  ::uint64_t getFinished() const;
+
+  inline  ::uint64_t getFailed() const;
+
+  inline  ::uint64_t getSlow() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -892,9 +906,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::RunParams::Builder {
+class VersionOutcomes::Builder {
 public:
-  typedef RunParams Builds;
+  typedef VersionOutcomes Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -908,12 +922,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder();
-  inline  ::mimosahub::wire::PieceOrder::Builder getOrder();
-  inline void setOrder( ::mimosahub::wire::PieceOrder::Reader value);
-  inline  ::mimosahub::wire::PieceOrder::Builder initOrder();
-  inline void adoptOrder(::capnp::Orphan< ::mimosahub::wire::PieceOrder>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrder> disownOrder();
+  inline  ::uint64_t getFinished();
+  inline void setFinished( ::uint64_t value);
+
+  inline  ::uint64_t getFailed();
+  inline void setFailed( ::uint64_t value);
+
+  inline  ::uint64_t getSlow();
+  inline void setSlow( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -925,15 +941,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::RunParams::Pipeline {
+class VersionOutcomes::Pipeline {
 public:
-  typedef RunParams Pipelines;
+  typedef VersionOutcomes Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::PieceOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -942,9 +957,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::RunResults::Reader {
+class RouteOutcomes::Reader {
 public:
-  typedef RunResults Reads;
+  typedef RouteOutcomes Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -959,11 +974,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::mimosahub::wire::PieceOrderResult::Reader getResult() const;
+  inline bool hasCaller() const;
+  inline  ::capnp::Text::Reader getCaller() const;
 
-  inline bool hasLoad() const;
-  inline  ::mimosahub::wire::BatchLoad::Reader getLoad() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasFrom() const;
+  inline  ::mimosahub::wire::VersionOutcomes::Reader getFrom() const;
+
+  inline bool hasTo() const;
+  inline  ::mimosahub::wire::VersionOutcomes::Reader getTo() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -977,9 +998,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::RunResults::Builder {
+class RouteOutcomes::Builder {
 public:
-  typedef RunResults Builds;
+  typedef RouteOutcomes Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -993,19 +1014,33 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::mimosahub::wire::PieceOrderResult::Builder getResult();
-  inline void setResult( ::mimosahub::wire::PieceOrderResult::Reader value);
-  inline  ::mimosahub::wire::PieceOrderResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::mimosahub::wire::PieceOrderResult>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrderResult> disownResult();
+  inline bool hasCaller();
+  inline  ::capnp::Text::Builder getCaller();
+  inline void setCaller( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCaller(unsigned int size);
+  inline void adoptCaller(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCaller();
 
-  inline bool hasLoad();
-  inline  ::mimosahub::wire::BatchLoad::Builder getLoad();
-  inline void setLoad( ::mimosahub::wire::BatchLoad::Reader value);
-  inline  ::mimosahub::wire::BatchLoad::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::mimosahub::wire::BatchLoad>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::BatchLoad> disownLoad();
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasFrom();
+  inline  ::mimosahub::wire::VersionOutcomes::Builder getFrom();
+  inline void setFrom( ::mimosahub::wire::VersionOutcomes::Reader value);
+  inline  ::mimosahub::wire::VersionOutcomes::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::mimosahub::wire::VersionOutcomes>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes> disownFrom();
+
+  inline bool hasTo();
+  inline  ::mimosahub::wire::VersionOutcomes::Builder getTo();
+  inline void setTo( ::mimosahub::wire::VersionOutcomes::Reader value);
+  inline  ::mimosahub::wire::VersionOutcomes::Builder initTo();
+  inline void adoptTo(::capnp::Orphan< ::mimosahub::wire::VersionOutcomes>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes> disownTo();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1017,16 +1052,16 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::RunResults::Pipeline {
+class RouteOutcomes::Pipeline {
 public:
-  typedef RunResults Pipelines;
+  typedef RouteOutcomes Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::PieceOrderResult::Pipeline getResult();
-  inline  ::mimosahub::wire::BatchLoad::Pipeline getLoad();
+  inline  ::mimosahub::wire::VersionOutcomes::Pipeline getFrom();
+  inline  ::mimosahub::wire::VersionOutcomes::Pipeline getTo();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1035,9 +1070,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReleaseParams::Reader {
+class SplitReport::Reader {
 public:
-  typedef ReleaseParams Reads;
+  typedef SplitReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1055,8 +1090,25 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasHandles() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint64_t getRecord() const;
+
+  inline bool hasDaemon() const;
+  inline  ::capnp::Text::Reader getDaemon() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::int64_t getElapsedUs() const;
+
+  inline  ::uint8_t getPhase() const;
+
+  inline bool hasFault() const;
+  inline  ::capnp::Text::Reader getFault() const;
+
+  inline bool hasRoutes() const;
+  inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1070,9 +1122,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReleaseParams::Builder {
+class SplitReport::Builder {
 public:
-  typedef ReleaseParams Builds;
+  typedef SplitReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1093,13 +1145,45 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasHandles();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
-  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
-  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint64_t getRecord();
+  inline void setRecord( ::uint64_t value);
+
+  inline bool hasDaemon();
+  inline  ::capnp::Text::Builder getDaemon();
+  inline void setDaemon( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDaemon(unsigned int size);
+  inline void adoptDaemon(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDaemon();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::int64_t getElapsedUs();
+  inline void setElapsedUs( ::int64_t value);
+
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
+
+  inline bool hasFault();
+  inline  ::capnp::Text::Builder getFault();
+  inline void setFault( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFault(unsigned int size);
+  inline void adoptFault(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFault();
+
+  inline bool hasRoutes();
+  inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Builder getRoutes();
+  inline void setRoutes( ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>> disownRoutes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1111,9 +1195,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReleaseParams::Pipeline {
+class SplitReport::Pipeline {
 public:
-  typedef ReleaseParams Pipelines;
+  typedef SplitReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1127,38 +1211,118 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReleaseResults::Reader {
+#if !CAPNP_LITE
+class StageProtocol::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ReleaseResults Reads;
+  typedef StageProtocol Calls;
+  typedef StageProtocol Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReleaseParams,  ::mimosahub::wire::StageProtocol::ReleaseResults> releaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults> readTableRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults> reportSplitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+protected:
+  Client() = default;
+};
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
+class StageProtocol::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef StageProtocol Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::mimosahub::wire::StageProtocol::RunParams RunParams;
+  typedef  ::mimosahub::wire::StageProtocol::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReleaseParams ReleaseParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReleaseResults ReleaseResults;
+  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
+  virtual ::kj::Promise<void> release(ReleaseContext context);
+  typedef  ::mimosahub::wire::StageProtocol::PingParams PingParams;
+  typedef  ::mimosahub::wire::StageProtocol::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableParams ReadTableParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableResults ReadTableResults;
+  typedef ::capnp::CallContext<ReadTableParams, ReadTableResults> ReadTableContext;
+  virtual ::kj::Promise<void> readTable(ReadTableContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReportSplitParams ReportSplitParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReportSplitResults ReportSplitResults;
+  typedef ::capnp::CallContext<ReportSplitParams, ReportSplitResults> ReportSplitContext;
+  virtual ::kj::Promise<void> reportSplit(ReportSplitContext context);
+
+  inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::mimosahub::wire::StageProtocol>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::RunParams::Reader {
+public:
+  typedef RunParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrder() const;
+  inline  ::mimosahub::wire::PieceOrder::Reader getOrder() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReleaseResults::Builder {
+class StageProtocol::RunParams::Builder {
 public:
-  typedef ReleaseResults Builds;
+  typedef RunParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1172,6 +1336,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrder();
+  inline  ::mimosahub::wire::PieceOrder::Builder getOrder();
+  inline void setOrder( ::mimosahub::wire::PieceOrder::Reader value);
+  inline  ::mimosahub::wire::PieceOrder::Builder initOrder();
+  inline void adoptOrder(::capnp::Orphan< ::mimosahub::wire::PieceOrder>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrder> disownOrder();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1182,14 +1353,15 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReleaseResults::Pipeline {
+class StageProtocol::RunParams::Pipeline {
 public:
-  typedef ReleaseResults Pipelines;
+  typedef RunParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mimosahub::wire::PieceOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1198,9 +1370,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::PingParams::Reader {
+class StageProtocol::RunResults::Reader {
 public:
-  typedef PingParams Reads;
+  typedef RunResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1215,6 +1387,12 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasResult() const;
+  inline  ::mimosahub::wire::PieceOrderResult::Reader getResult() const;
+
+  inline bool hasLoad() const;
+  inline  ::mimosahub::wire::BatchLoad::Reader getLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1227,9 +1405,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::PingParams::Builder {
+class StageProtocol::RunResults::Builder {
 public:
-  typedef PingParams Builds;
+  typedef RunResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1243,6 +1421,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasResult();
+  inline  ::mimosahub::wire::PieceOrderResult::Builder getResult();
+  inline void setResult( ::mimosahub::wire::PieceOrderResult::Reader value);
+  inline  ::mimosahub::wire::PieceOrderResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::mimosahub::wire::PieceOrderResult>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrderResult> disownResult();
+
+  inline bool hasLoad();
+  inline  ::mimosahub::wire::BatchLoad::Builder getLoad();
+  inline void setLoad( ::mimosahub::wire::BatchLoad::Reader value);
+  inline  ::mimosahub::wire::BatchLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::mimosahub::wire::BatchLoad>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::BatchLoad> disownLoad();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1253,14 +1445,16 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::PingParams::Pipeline {
+class StageProtocol::RunResults::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef RunResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mimosahub::wire::PieceOrderResult::Pipeline getResult();
+  inline  ::mimosahub::wire::BatchLoad::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1269,9 +1463,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::PingResults::Reader {
+class StageProtocol::ReleaseParams::Reader {
 public:
-  typedef PingResults Reads;
+  typedef ReleaseParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1286,8 +1480,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasHandles() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1301,9 +1498,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::PingResults::Builder {
+class StageProtocol::ReleaseParams::Builder {
 public:
-  typedef PingResults Builds;
+  typedef ReleaseParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1317,12 +1514,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads();
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasHandles();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
+  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
+  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1334,9 +1539,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::PingResults::Pipeline {
+class StageProtocol::ReleaseParams::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef ReleaseParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1350,9 +1555,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReadTableParams::Reader {
+class StageProtocol::ReleaseResults::Reader {
 public:
-  typedef ReadTableParams Reads;
+  typedef ReleaseResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1367,10 +1572,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getTable() const;
-
-  inline  ::uint64_t getFrom() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1383,9 +1584,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReadTableParams::Builder {
+class StageProtocol::ReleaseResults::Builder {
 public:
-  typedef ReadTableParams Builds;
+  typedef ReleaseResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1399,12 +1600,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getTable();
-  inline void setTable( ::uint8_t value);
-
-  inline  ::uint64_t getFrom();
-  inline void setFrom( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1415,9 +1610,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReadTableParams::Pipeline {
+class StageProtocol::ReleaseResults::Pipeline {
 public:
-  typedef ReadTableParams Pipelines;
+  typedef ReleaseResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1431,9 +1626,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReadTableResults::Reader {
+class StageProtocol::PingParams::Reader {
 public:
-  typedef ReadTableResults Reads;
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1448,17 +1643,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
-
-  inline  ::int64_t getAgeUs() const;
-
-  inline  ::uint64_t getNext() const;
-
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
-
-  inline  ::uint64_t getDocuments() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1471,9 +1655,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReadTableResults::Builder {
+class StageProtocol::PingParams::Builder {
 public:
-  typedef ReadTableResults Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1487,25 +1671,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
-
-  inline  ::int64_t getAgeUs();
-  inline void setAgeUs( ::int64_t value);
-
-  inline  ::uint64_t getNext();
-  inline void setNext( ::uint64_t value);
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-  inline  ::uint64_t getDocuments();
-  inline void setDocuments( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1516,9 +1681,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReadTableResults::Pipeline {
+class StageProtocol::PingParams::Pipeline {
 public:
-  typedef ReadTableResults Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
