--- a/src/forward/split_judge.h
+++ b/src/forward/split_judge.h
@@ -41,6 +41,11 @@
     /// The decision on the reports so far. \a daemons is the number of daemons that are
     /// listed: unless half of them have reported lately, only a fault changes the phase.
     const SplitDecision &decide(int daemons, TimePoint now);
+    /// What decide() returned last.
+    [[nodiscard]] const SplitDecision &decision() const
+    {
+        return m_decision;
+    }
     /// Outcomes of all reports.
     [[nodiscard]] RouteOutcomes sum() const;
 
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -26,6 +26,7 @@
 constexpr double kTickSpread = 0.2;
 constexpr const char *kAnyZone = "any"; ///< Outcomes are compared by route only.
 constexpr int kAllDaemons = std::numeric_limits<int>::max(); ///< More than ever report to a judge of own counts.
+constexpr Duration kDecisionAge = 150ms; ///< Sums over all daemons are not made for each report.
 constexpr Duration kNewsAge = 2s; ///< Without a decision for so long, a daemon pauses.
 
 SplitPhase phaseOf(RolloutStage stage)
@@ -84,6 +85,7 @@
             }
         }
         active->sharesTraffic = target && old;
+        active->hasShared = active->hasShared || active->sharesTraffic;
         active->split.setDaemons(m_daemons);
     }
     armTick();
@@ -111,7 +113,11 @@
 std::optional<VersionFilter> RolloutDirector::drawVersion(const ServiceId &service)
 {
     const auto *active = find(service);
-    if (active == nullptr || (!active->sharesTraffic && active->split.phase() != SplitPhase::RolledBack)) {
+    if (active == nullptr) {
+        return std::nullopt;
+    }
+    const bool excluded = active->hasShared && active->split.phase() == SplitPhase::RolledBack;
+    if (!active->sharesTraffic && !excluded) {
         return std::nullopt;
     }
     return VersionFilter{active->rollout.target, active->split.drawTarget(m_random)};
@@ -225,7 +231,11 @@
     }
     const auto now = m_clock.now();
     active->judge.take(report, now);
-    return active->judge.decide(m_daemons, now);
+    if (now - active->decidedAt >= kDecisionAge) {
+        active->decidedAt = now;
+        static_cast<void>(active->judge.decide(m_daemons, now));
+    }
+    return active->judge.decision();
 }
 
 void RolloutDirector::takeDecision(Active &active, const SplitDecision &decision)
@@ -247,14 +257,18 @@
     }
     active.split.setPhase(phase);
     active.reason = reason;
-    const auto sum = [&] {
-        RouteOutcomes all;
-        for (const auto &[route, outcomes] : active.counts) {
-            all += outcomes;
-        }
-        return all;
-    }();
     m_rolledBack.add(phase == SplitPhase::RolledBack ? 1 : 0);
+    logPhase(active, before);
+    m_callbacks.phaseChanged();
+}
+
+void RolloutDirector::logPhase(const Active &active, SplitPhase before) const
+{
+    const auto phase = active.split.phase();
+    RouteOutcomes sum;
+    for (const auto &[route, outcomes] : active.counts) {
+        sum += outcomes;
+    }
     const std::string_view event = phase == SplitPhase::RolledBack ? "rollout-rolled-back"
         : phase == SplitPhase::Completed                           ? "rollout-completed"
                                                                    : "rollout-phase";
@@ -263,7 +277,7 @@
         .with("target", active.rollout.target)
         .with("phase", splitPhaseName(phase))
         .with("before", splitPhaseName(before))
-        .with("reason", reason)
+        .with("reason", active.reason)
         .with("elapsed", Duration(m_clock.now() - active.begin))
         .with("target_sends", active.split.targetSends())
         .with("old_sends", active.split.oldSends())
@@ -273,7 +287,6 @@
         .with("old_outcomes", sum.from.finished)
         .with("old_failed", sum.from.failed)
         .with("old_slow", sum.from.slow);
-    m_callbacks.phaseChanged();
 }
 
 void RolloutDirector::requestStatus(const Active &active)
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -91,7 +91,9 @@
         std::string reason; ///< Of the phase.
         TimePoint newsAt; ///< Of the last decision by the coordinator.
         std::optional<RolloutStage> status; ///< As the store holds it.
+        TimePoint decidedAt; ///< When the judge of all reports decided last.
         bool sharesTraffic = false; ///< Endpoints both of the target and of other versions are listed.
+        bool hasShared = false; ///< That was so at some time since the order.
     };
 
     [[nodiscard]] Active *find(const ServiceId &service);
@@ -103,6 +105,7 @@
     void exchange(Active &active);
     void takeDecision(Active &active, const SplitDecision &decision);
     void enter(Active &active, SplitPhase phase, const std::string &reason);
+    void logPhase(const Active &active, SplitPhase before) const;
     void requestStatus(const Active &active);
     [[nodiscard]] SplitReport reportOf(const Active &active) const;
 
--- /dev/null
+++ b/src/gateway/rollout_director_test.cc
@@ -0,0 +1,100 @@
+#include "gateway/rollout_director.h"
+
+#include <criterion/criterion.h>
+
+using namespace mimosahub;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const ServiceId kService("s");
+const VersionId kOld("v1");
+const VersionId kTarget("v2");
+const RolloutId kRollout{kService, kTarget, RolloutRecord(5)};
+
+/// A director whose coordinator never answers.
+class Daemon : public RolloutPeers
+{
+public:
+    Daemon()
+    {
+        director.connect(*this, {[](const WantedStatus &) {}, [] {}});
+    }
+    bool coordinates(const ServiceId & /*service*/) const override
+    {
+        return false;
+    }
+    void report(const SplitReport & /*report*/, AnswerCallback onAnswer) override
+    {
+        onAnswer(std::nullopt);
+    }
+    void show(const std::vector<VersionId> &versions, std::optional<RolloutStage> status)
+    {
+        GatewayView view;
+        for (const auto &version : versions) {
+            ListedEndpoint endpoint;
+            endpoint.info.id = EndpointId(version.str());
+            endpoint.info.service = kService;
+            endpoint.info.version = version;
+            view.endpoints.push_back(endpoint);
+        }
+        view.rollouts = {{kRollout, 15s, status}};
+        director.setView(view);
+    }
+
+    boost::asio::io_context io;
+    ManualClock clock;
+    MetricRegistry metrics;
+    Random random{1};
+    RolloutDirector director{io, clock, InstanceId("d1"), 1, {0.1, 50.0}, metrics, random};
+};
+
+} // namespace
+
+Test(rollout_director, without_a_decision_the_target_gets_nothing)
+{
+    Daemon daemon;
+    daemon.show({kOld, kTarget}, RolloutStage::Running);
+    for (int i = 0; i < 1000; ++i) {
+        const auto filter = daemon.director.drawVersion(kService);
+        cr_assert(filter && filter->admits(kOld) && !filter->admits(kTarget));
+    }
+}
+
+Test(rollout_director, a_version_gets_nothing_after_its_rollback_though_no_other_is_left)
+{
+    Daemon daemon;
+    daemon.show({kOld, kTarget}, RolloutStage::RolledBack);
+    daemon.show({kTarget}, RolloutStage::RolledBack);
+    const auto filter = daemon.director.drawVersion(kService);
+    cr_assert(filter && !filter->admits(kTarget) && !daemon.director.mayUseOther(kService, *filter));
+}
+
+Test(rollout_director, a_service_whose_only_version_was_ordered_is_served)
+{
+    Daemon daemon;
+    for (const auto status : {RolloutStage::Running, RolloutStage::RolledBack, RolloutStage::Completed}) {
+        daemon.show({kTarget}, status);
+        cr_assert(!daemon.director.drawVersion(kService));
+    }
+}
+
+Test(rollout_director, a_completed_version_is_preferred)
+{
+    Daemon daemon;
+    daemon.show({kOld, kTarget}, RolloutStage::Completed);
+    const auto filter = daemon.director.drawVersion(kService);
+    cr_assert(filter && filter->admits(kTarget) && daemon.director.mayUseOther(kService, *filter));
+}
+
+// A report on an order that this daemon hasn't read yet changes nothing.
+Test(rollout_director, a_report_on_another_order_is_not_known)
+{
+    Daemon daemon;
+    daemon.show({kOld, kTarget}, RolloutStage::Running);
+    SplitReport report{{kService, kTarget, RolloutRecord(6)}, InstanceId("d2"), 1, 1s, SplitPhase::Trial, "slow", {}};
+    cr_assert(!daemon.director.takeReport(report));
+    report.rollout = kRollout;
+    cr_assert(daemon.director.takeReport(report)->phase == SplitPhase::RolledBack);
+}
