--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -190,7 +190,7 @@
         co_return refusal;
     }
     if (!inputsFit()) {
-        m_tickets.clear();
+        m_stages->drop();
         auto refusal = makeRefusal(Reason::TooLarge, "the stages have more results than a call can name", Step::Choose);
         refusal.outcome = m_policy.outcome();
         co_return refusal;
@@ -256,13 +256,33 @@
     return retryBudget().available(m_context.clock.now()) ? RetryObstacle::None : RetryObstacle::NoBudget;
 }
 
-std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> ForwardedRequest::chooseSend(const EndpointQuery &query)
+std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> ForwardedRequest::chooseSend(EndpointQuery query)
 {
-    const auto choice = m_context.selector.choose(query, m_context.clock.now(), m_context.random);
+    const auto now = m_context.clock.now();
+    query.version = m_context.rollouts.drawVersion(m_service);
+    auto choice = m_context.selector.choose(query, now, m_context.random);
+    if (std::holds_alternative<NoEndpointChosen>(choice) && query.version
+        && m_context.rollouts.mayUseOther(m_service, *query.version)) {
+        query.version->wanted = !query.version->wanted;
+        choice = m_context.selector.choose(query, now, m_context.random);
+    }
     if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
         return *none;
     }
-    return std::make_unique<EndpointSend>(m_context, std::get<ListedEndpoint>(choice), query);
+    return std::make_unique<EndpointSend>(m_context, std::get<ListedEndpoint>(choice), std::move(query));
+}
+
+std::optional<AnswerTimes> ForwardedRequest::answerTimes() const
+{
+    if (!m_firstByte) {
+        return std::nullopt;
+    }
+    AnswerTimes times{*m_firstByte, std::nullopt};
+    if (m_events.events() > 1) {
+        const auto stream = m_context.clock.now() - m_sentAt - *m_firstByte;
+        times.gap = stream / static_cast<Duration::rep>(m_events.events() - 1);
+    }
+    return times;
 }
 
 http::Awaitable<void> ForwardedRequest::forward()
@@ -282,7 +302,15 @@
             co_await refuse(std::move(refusal));
             co_return;
         }
-        auto report = co_await sendOnce(std::move(std::get<std::unique_ptr<EndpointSend>>(choice)));
+        auto send = std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
+        const auto &endpoint = send->endpoint().info;
+        CountedSend counted(m_context.rollouts, endpoint, m_route->id,
+                            m_context.selector.isCold(endpoint.id, m_context.clock.now()));
+        m_firstByte.reset();
+        auto report = co_await sendOnce(std::move(send));
+        if (report.loss != SendLoss::CallerGone) {
+            counted.end(report.result, answerTimes());
+        }
         const auto next = stepAfter(report);
         m_sending = false;
         switch (next) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -10,6 +10,7 @@
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
 #include "gateway/request_stages.h"
+#include "gateway/rollout_director.h"
 #include "gateway/usual_times.h"
 #include "http/connection_pool.h"
 #include "http/server.h"
@@ -48,6 +49,7 @@
     UsualTimes &usual;
     ForwardMetrics &metrics;
     std::map<RouteId, PromptAffinity> &affinities;
+    RolloutDirector &rollouts;
     Random &random;
     StopState &stop;
     ZoneId zone; ///< This daemon's.
@@ -85,8 +87,10 @@
     http::Awaitable<std::optional<Refusal>> prepare();
     [[nodiscard]] Duration comeBackAfter();
     http::Awaitable<void> forward();
-    /// The endpoint that \a query selects, with a send that is counted there.
-    [[nodiscard]] std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> chooseSend(const EndpointQuery &query);
+    /// The endpoint that \a query and a rollout of its service select, with a send that is
+    /// counted there.
+    [[nodiscard]] std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> chooseSend(EndpointQuery query);
+    [[nodiscard]] std::optional<AnswerTimes> answerTimes() const;
     http::Awaitable<SendReport> sendOnce(std::unique_ptr<EndpointSend> send);
     [[nodiscard]] NextStep stepAfter(const SendReport &report);
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
