--- a/src/follow/table_relay.h
+++ b/src/follow/table_relay.h
@@ -22,8 +22,8 @@
 struct TableRelayOptions {
     Duration queryTimeout = std::chrono::seconds(3); ///< Other daemons are expected to query again within this time.
     std::size_t maxRecords = 2048; ///< Number of records kept; older ones are dropped.
-    std::size_t maxBytes = std::size_t(512)
-        << 10U; ///< Of all records kept, which must fit into one message between daemons.
+    /// Of all records kept, which must fit into one message between daemons.
+    std::size_t maxBytes = std::size_t(512) << 10U;
 };
 
 /// The newest records of one table as this daemon read them from the store, for
