--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -12,7 +12,9 @@
             io.run();
             return;
         } catch (const std::exception &e) {
-            logEvent(LogLevel::Error, "handler-exception").with("thread", thread).with("why", std::string_view(e.what()));
+            logEvent(LogLevel::Error, "handler-exception")
+                .with("thread", thread)
+                .with("why", std::string_view(e.what()));
         }
     }
 }
