Keep a silent stream of the own interface that nothing can replace

What callers saw: a stream that fell silent for 2 s was closed, and only then it was asked whether attempts, time and the retry budget allow another one; if not, the caller got an error event though the endpoint might have gone on.

An attempt whose stream is open is now replaced only if another one may be started, that is also only if the stream can be resumed; else it stays and is looked at again after the same silence, until the stage's deadline. Whether an endpoint can be chosen is known later: that remains.

--- a/src/request/request_timing.cc
+++ b/src/request/request_timing.cc
@@ -128,10 +128,10 @@
         giveUp(outOfTimeCause());
         return;
     }
-    if (m_now < latest && !attempt->streamOpen && !mayReplace(*attempt)) {
-        // No other attempt may be started, so the slow one gets the rest of the time.
-        attempt->timeoutAt = latest;
-        emitAction(SetTimer{timer, latest});
+    if (m_now < latest && !mayReplace(*attempt)) {
+        // No other attempt may be started, so the slow one gets more time.
+        attempt->timeoutAt = attempt->streamOpen ? std::min(latest, m_now + m_options.streamStallTimeout) : latest;
+        emitAction(SetTimer{timer, attempt->timeoutAt});
         return;
     }
     ++m_counters.timeouts;
@@ -144,7 +144,7 @@
 bool RequestCore::Handler::mayReplace(const Attempt &attempt) const
 {
     const bool sentOnce = !stage().idempotent && attempt.wasSent();
-    return !sentOnce && attemptsOfStage() < m_options.maxAttempts && history().retries().available(m_now);
+    return !sentOnce && canRetry() && history().retries().available(m_now);
 }
 
 void RequestCore::Handler::hedgeFired(const RequestTimer &timer)
