Prepare a staged stream again before it is sent again

Callers of routes with stages got streams that were cut in the middle. The first whole event drops the stages' results, but a later send still named them: the engine answers 409 (PROTOCOL.md), not run. A pause of 1.5 s was enough where a second engine was there: left for silence, 409 from engine-2, last resort, 409 from engine-1, cut. After a broken stream the sure 409 cost a token and a send.

The rule: a stream whose endpoint is silent stays with it once the results are dropped or older than their lifetime (obstacle inputs-gone). A stream that broke off has nothing to lose: its stages are prepared anew, then it is sent with its Last-Event-Id. Such pieces expire with the request, not with the caller's wait for an answer to begin.

A staged stream of an endpoint that is silent for good is therefore left only when TCP finds the endpoint dead.

Before (silence_test, the stand-in answers 409 for released handles): a1 send-again engine-1 "the stream broke after 3 events: the endpoint was silent" a1 send-again engine-2 "the endpoint refused it with status 409" a1 outcome unknown "endpoint-lost: the endpoint refused it with status 409", sends 3 [FAIL] a_staged_stream_goes_on_after_a_pause_beside_a_second_endpoint (1.65s) [FAIL] a_staged_stream_that_breaks_off_goes_on_at_another_endpoint (0.17s) Both pass now.

--- a/src/forward/retry_obstacle.h
+++ b/src/forward/retry_obstacle.h
@@ -14,6 +14,7 @@
     NoBudget, ///< The shared retry budget is empty.
     NoEndpoint, ///< No other endpoint may take it now.
     Unreachable, ///< No connection to the other endpoint could be made.
+    InputsGone, ///< The results of its stages can't be read any more.
     NotNeeded, ///< The present endpoint went on meanwhile.
 };
 
@@ -35,6 +36,8 @@
         return "no-endpoint";
     case RetryObstacle::Unreachable:
         return "unreachable";
+    case RetryObstacle::InputsGone:
+        return "inputs-gone";
     case RetryObstacle::NotNeeded:
         return "not-needed";
     }
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -169,7 +169,8 @@
 http::Awaitable<std::optional<Refusal>> ForwardedRequest::prepare()
 {
     const auto engine = m_context.selector.preferred(query(), m_context.clock.now());
-    const StagedRequest staged{*m_route, m_call, *m_view, m_arrival, m_uselessAt, m_rank};
+    const auto uselessAt = m_streamBegun ? m_giveUpAt : m_uselessAt;
+    const StagedRequest staged{*m_route, m_call, *m_view, m_arrival, uselessAt, m_rank};
     m_stages.reset();
     m_stages = std::make_unique<RequestStages>(m_context, staged, engine ? std::optional(engine->zone) : std::nullopt);
     m_stages->begin();
@@ -325,10 +326,6 @@
             }
             co_return;
         case NextStep::PrepareAgain:
-            if (auto refusal = co_await prepare()) {
-                co_await refuse(std::move(*refusal));
-                co_return;
-            }
             break;
         case NextStep::SendAgain:
             logEvent(LogLevel::Info, "send-again")
@@ -340,6 +337,12 @@
             co_await refuse(refusalAfter(report));
             co_return;
         }
+        if (next == NextStep::PrepareAgain || !m_stages->readable()) {
+            if (auto refusal = co_await prepare()) {
+                co_await refuse(std::move(*refusal));
+                co_return;
+            }
+        }
     }
 }
 
@@ -387,6 +390,9 @@
 
 http::Awaitable<RetryObstacle> ForwardedRequest::findSuccessor()
 {
+    if (!m_stages->readable()) {
+        co_return RetryObstacle::InputsGone;
+    }
     if (const auto obstacle = obstacleToRetry(); obstacle != RetryObstacle::None) {
         co_return obstacle;
     }
--- a/src/gateway/request_stages.cc
+++ b/src/gateway/request_stages.cc
@@ -34,10 +34,7 @@
         const auto &rule = m_request.route.stages[stage];
         m_tickets[stage] = m_context.stages.submit(rule.service, orderOf(stage), [this, stage](auto result) {
             if (result.outcome == PieceOutcome::Done) {
-                m_graph.complete(stage, std::move(result.handles));
-                for (const auto spent : m_graph.takeReleasable()) {
-                    m_tickets.erase(spent);
-                }
+                complete(stage, std::move(result.handles));
                 begin();
             } else {
                 m_failure = Failure{stage, result.outcome};
@@ -47,6 +44,23 @@
     }
 }
 
+void RequestStages::complete(std::size_t stage, std::vector<ResultHandle> handles)
+{
+    const auto *service = m_request.view.configuration->findService(m_request.route.stages[stage].service);
+    if (m_graph.isLast(stage) && service != nullptr && service->batch) {
+        m_readableUntil = std::min(m_readableUntil, TimePoint(m_context.clock.now() + service->batch->resultLifetime));
+    }
+    m_graph.complete(stage, std::move(handles));
+    for (const auto spent : m_graph.takeReleasable()) {
+        m_tickets.erase(spent);
+    }
+}
+
+bool RequestStages::readable() const
+{
+    return m_request.route.stages.empty() || (!m_dropped && m_context.clock.now() < m_readableUntil);
+}
+
 http::Awaitable<void> RequestStages::waitForNews(Duration longest)
 {
     m_news.expires_after(longest);
--- a/src/gateway/request_stages.h
+++ b/src/gateway/request_stages.h
@@ -60,7 +60,10 @@
     void drop()
     {
         m_tickets.clear();
+        m_dropped = true;
     }
+    /// Whether an endpoint can still read the results: they are neither dropped nor too old.
+    [[nodiscard]] bool readable() const;
 
     /// The results that the request's endpoint is to read.
     [[nodiscard]] std::vector<ResultHandle> finalInputs() const
@@ -81,6 +84,8 @@
         PieceOutcome outcome = PieceOutcome::Failed;
     };
 
+    /// Records that all results of \a stage were made.
+    void complete(std::size_t stage, std::vector<ResultHandle> handles);
     [[nodiscard]] PieceOrder orderOf(std::size_t stage) const;
     /// The usual time from the end of \a stage to the answer.
     [[nodiscard]] Duration restAfter(std::size_t stage) const;
@@ -93,6 +98,8 @@
     std::optional<ZoneId> m_engineZone;
     StageGraph m_graph;
     std::optional<Failure> m_failure;
+    TimePoint m_readableUntil = TimePoint::max(); ///< The first of the final results is too old from then on.
+    bool m_dropped = false;
     boost::asio::steady_timer m_news;
     std::map<std::size_t, std::unique_ptr<StageTicket>> m_tickets; ///< By stage.
 };
