Take no answer without events for a part of a begun stream

A stream that was sent again to an endpoint which answered with a certified status below 500 and no event stream counted as answered: "HTTP/1.1 200 OK" and the rest of that header were written into the chunked body of the caller's stream. Event streams with any status were passed on, too.

Once a stream has begun, only a 2xx event stream goes on with it. Any other certified answer is lost (a server error from 500 on), its connection is closed, and the way back to the first endpoint stays open.

Before: [FAIL] a_stream_is_whole_though_the_second_endpoint_answers_without_events (1.57s): status 200, whole 0, three events of six It passes now.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -41,6 +41,13 @@
 constexpr Duration kRefusalPatience = std::chrono::milliseconds(100); ///< With a refusal's body, which nobody needs.
 constexpr int kMaxForeignAnswers = 2; ///< Late answers to earlier calls that are passed over.
 constexpr int kFirstErrorStatus = 500;
+constexpr int kFirstSuccessStatus = 200;
+constexpr int kFirstRedirectStatus = 300;
+
+bool isSuccess(int status)
+{
+    return status >= kFirstSuccessStatus && status < kFirstRedirectStatus;
+}
 
 SendLoss lossOf(const absl::Status &status)
 {
@@ -576,15 +583,23 @@
         report.why = absl::StrCat("the endpoint refused it with status ", report.head.status);
         co_return report;
     }
-    const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
-    if (m_route->streaming && events && report.head.certified) {
-        co_return co_await relay(send, *head, std::move(report));
-    }
     if (!report.head.certified) {
         report.why = absl::StrCat("an answer with status ", report.head.status, " came without certificate");
         connection.close();
         co_return report;
     }
+    const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
+    if (m_streamBegun && !(events && isSuccess(report.head.status))) {
+        const bool serverError = report.head.status >= kFirstErrorStatus;
+        report.result = serverError ? SendResult::ServerError : SendResult::Lost;
+        report.loss = SendLoss::BrokenOff;
+        report.why = absl::StrCat("an answer with status ", report.head.status, " doesn't go on with the stream");
+        connection.close();
+        co_return report;
+    }
+    if (m_route->streaming && events) {
+        co_return co_await relay(send, *head, std::move(report));
+    }
     const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
     if (!body.ok()) {
         report.loss = lossOf(body.status());
