Hold a retry token for the way back from a silent endpoint

Leaving a silent endpoint took one token of the retry budget, and the way back to it needed a second one. With many daemons each has one token at most (burst = max(1, ..)): a stream whose second endpoint refused it was cut after 1.5 s with obstacle no-budget. A silent endpoint that leaves the listing, or whose zone is closed, could not be asked again at all. And a paused endpoint was taken as the successor where there was no other.

The rule: an endpoint that is silent once is left only if the way back is secure, that is, it may still be chosen and two tokens are there. The second one is held and goes back when the successor's answer begins. An endpoint that is silent a second time in a row (3 s within a stream) is probably dead and is left for one token, so that a daemon with one token still leaves it before the caller leaves. The successor is no paused endpoint. Each send that is made has taken a token, so the bound of the shared budget stays.

--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace mimosahub
 {
@@ -207,7 +208,7 @@
         && std::any_of(healthy.begin(), healthy.end(), [](auto *state) { return state->failures == 0; })) {
         std::erase_if(healthy, [](const auto *state) { return state->failures > 0; });
     }
-    return healthy.empty() ? paused : healthy;
+    return healthy.empty() && query.allowPaused ? paused : healthy;
 }
 
 std::optional<EndpointInfo> EndpointSelector::preferred(const EndpointQuery &query, TimePoint now)
@@ -311,17 +312,28 @@
     }
 }
 
-EndpointSelector::State *EndpointSelector::find(const EndpointId &endpoint)
+const EndpointSelector::State *EndpointSelector::find(const EndpointId &endpoint) const
 {
     const auto service = m_serviceOf.find(endpoint);
     if (service == m_serviceOf.end()) {
         return nullptr;
     }
-    auto &endpoints = m_services[service->second].endpoints;
+    const auto &endpoints = m_services.at(service->second).endpoints;
     const auto it = endpoints.find(endpoint);
     return it == endpoints.end() ? nullptr : &it->second;
 }
 
+EndpointSelector::State *EndpointSelector::find(const EndpointId &endpoint)
+{
+    return const_cast<State *>(std::as_const(*this).find(endpoint));
+}
+
+bool EndpointSelector::isUsable(const EndpointId &endpoint) const
+{
+    const auto *state = find(endpoint);
+    return state != nullptr && state->usable;
+}
+
 void EndpointSelector::recordSilence(const EndpointId &endpoint, TimePoint now)
 {
     if (auto *state = find(endpoint)) {
@@ -340,13 +352,8 @@
 
 bool EndpointSelector::isCold(const EndpointId &endpoint, TimePoint now) const
 {
-    const auto service = m_serviceOf.find(endpoint);
-    if (service == m_serviceOf.end()) {
-        return false;
-    }
-    const auto &endpoints = m_services.at(service->second).endpoints;
-    const auto it = endpoints.find(endpoint);
-    return it != endpoints.end() && now < it->second.coldUntil;
+    const auto *state = find(endpoint);
+    return state != nullptr && now < state->coldUntil;
 }
 
 int EndpointSelector::inFlight(const ServiceId &service) const
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -39,6 +39,7 @@
     std::map<ZoneId, std::uint64_t> inputBytes; ///< Approximate bytes that the endpoint will fetch, by zone.
     bool retryable = true; ///< The request may be sent again, so it may go to an endpoint that failed recently.
     std::vector<EndpointId> exclude; ///< Endpoints that were tried already.
+    bool allowPaused = true; ///< A paused endpoint may be chosen if there is no other.
     std::optional<EndpointId> only; ///< Set: no other endpoint may be chosen.
     std::optional<VersionFilter> version; ///< Absent: any version.
 };
@@ -105,6 +106,8 @@
     void recordSilence(const EndpointId &endpoint, TimePoint now);
     /// Records the load that the endpoint reported: requests that run and that wait there.
     void recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now);
+    /// Whether the endpoint is listed, is not leaving and its zone is open.
+    [[nodiscard]] bool isUsable(const EndpointId &endpoint) const;
     /// Whether the endpoint is slow since it has just started.
     [[nodiscard]] bool isCold(const EndpointId &endpoint, TimePoint now) const;
     /// Changes of health since the last call.
@@ -140,6 +143,7 @@
         std::map<EndpointId, State> endpoints;
     };
 
+    [[nodiscard]] const State *find(const EndpointId &endpoint) const;
     [[nodiscard]] State *find(const EndpointId &endpoint);
     [[nodiscard]] std::vector<State *> candidates(ServiceState &service, const EndpointQuery &query,
                                                   TimePoint now) const;
--- a/src/forward/endpoint_selector_test.cc
+++ b/src/forward/endpoint_selector_test.cc
@@ -318,3 +318,33 @@
         }
     }
 }
+
+Test(endpoint_selector, chooses_a_paused_endpoint_only_where_it_is_allowed)
+{
+    EndpointSelector selector;
+    Random random(1);
+    selector.setListing({endpoint("x")}, GatewayConfiguration(parts(0)), {}, kStart);
+    cr_assert(chosen(selector, query(), kStart, random));
+    selector.end(EndpointId("x"), query(), SendEnd::Unreachable, std::nullopt, kStart);
+    auto unpaused = query();
+    unpaused.allowPaused = false;
+    cr_assert(!chosen(selector, unpaused, kStart + 100ms, random));
+    cr_assert(chosen(selector, query(), kStart + 100ms, random));
+    cr_assert(chosen(selector, unpaused, kStart + 400ms, random));
+}
+
+Test(endpoint_selector, an_endpoint_that_leaves_or_whose_zone_is_closed_is_not_usable)
+{
+    EndpointSelector selector;
+    const GatewayConfiguration configuration(parts(0));
+    const EndpointId id("x");
+    cr_assert_not(selector.isUsable(id));
+    auto it = endpoint("x");
+    selector.setListing({it}, configuration, {}, kStart);
+    cr_assert(selector.isUsable(id));
+    selector.setListing({it}, configuration, {ZoneId("a")}, kStart);
+    cr_assert_not(selector.isUsable(id));
+    it.info.leaving = true;
+    selector.setListing({it}, configuration, {}, kStart);
+    cr_assert_not(selector.isUsable(id));
+}
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -7,9 +7,11 @@
 // first event: until then another endpoint may still answer.
 //
 // Silence alone ends nothing: an endpoint that sends nothing for longer than usual is
-// given up only once another one, a connection to it and a token of the retry budget
-// stand ready. Until then the request stays with it. The connection is closed before
-// the request is sent again, so that two endpoints never work on it at once.
+// given up only once another one, a connection to it and two tokens of the retry budget
+// stand ready: the second one is held for the way back, should the other endpoint fail.
+// An endpoint that is silent a second time in a row is probably dead and is left for one
+// token. Until then the request stays with it. The connection is closed before the
+// request is sent again, so that two endpoints never work on it at once.
 
 #include "gateway/forwarded_request.h"
 
@@ -35,6 +37,7 @@
 constexpr Duration kLeastPatience = std::chrono::milliseconds(250); ///< With an endpoint's first byte.
 constexpr Duration kLeastStreamPatience = std::chrono::milliseconds(1500);
 constexpr int kPatienceFactor = 5; ///< Of the usual time to the first byte.
+constexpr int kSilencesOfDead = 2; ///< In a row, after which an endpoint is left without a way back.
 constexpr Duration kStall = std::chrono::milliseconds(1500); ///< Longest pause within a stream that may be resumed.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t(8) << 20U;
 constexpr std::uint64_t kMaxRefusalBytes = std::uint64_t(64) << 10U;
@@ -381,7 +384,9 @@
 
 std::unique_ptr<EndpointSend> ForwardedRequest::lastResort()
 {
-    if (!m_silent || obstacleToRetry() != RetryObstacle::None) {
+    const auto obstacle = obstacleToRetry();
+    const bool paid = m_wayBack && obstacle == RetryObstacle::NoBudget;
+    if (!m_silent || (obstacle != RetryObstacle::None && !paid)) {
         return nullptr;
     }
     auto asked = query();
@@ -391,7 +396,12 @@
     if (std::holds_alternative<NoEndpointChosen>(choice)) {
         return nullptr;
     }
-    static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
+    if (m_wayBack) {
+        m_wayBack->spend();
+        m_wayBack.reset();
+    } else {
+        static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
+    }
     return std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
 }
 
@@ -407,6 +417,7 @@
     static_cast<void>(policy.after(SendResult::Lost, /*mayRetry=*/true));
     auto asked = query();
     asked.retryable = policy.allowsAnotherSend();
+    asked.allowPaused = false;
     auto choice = chooseSend(asked);
     if (std::holds_alternative<NoEndpointChosen>(choice)) {
         co_return RetryObstacle::NoEndpoint;
@@ -420,7 +431,27 @@
     co_return RetryObstacle::None;
 }
 
-http::Awaitable<bool> ForwardedRequest::replaceSilent(EndpointSend &send)
+RetryObstacle ForwardedRequest::takeTokensToLeave(EndpointSend &send, int silences)
+{
+    if (!send.connection().idleAndOpen()) {
+        return RetryObstacle::NotNeeded;
+    }
+    const bool needsWayBack = silences < kSilencesOfDead;
+    if (needsWayBack && !m_context.selector.isUsable(send.endpoint().info.id)) {
+        return RetryObstacle::NoWayBack;
+    }
+    const auto now = m_context.clock.now();
+    auto leaving = ReservedRetry::tryTake(retryBudget(), now);
+    auto wayBack = ReservedRetry::tryTake(retryBudget(), now);
+    if (!leaving || (needsWayBack && !wayBack)) {
+        return RetryObstacle::NoBudget;
+    }
+    leaving->spend();
+    m_wayBack = std::move(wayBack);
+    return RetryObstacle::None;
+}
+
+http::Awaitable<bool> ForwardedRequest::replaceSilent(EndpointSend &send, int silences)
 {
     if (left() < kMinSendTime) {
         m_obstacle = RetryObstacle::NoTime;
@@ -429,10 +460,8 @@
         co_return true;
     }
     m_obstacle = co_await findSuccessor();
-    if (m_successor && !send.connection().idleAndOpen()) {
-        m_obstacle = RetryObstacle::NotNeeded;
-    } else if (m_successor && !retryBudget().tryTake(m_context.clock.now())) {
-        m_obstacle = RetryObstacle::NoBudget;
+    if (m_successor) {
+        m_obstacle = takeTokensToLeave(send, silences);
     }
     m_context.metrics.recordSilence(m_obstacle);
     if (m_obstacle != RetryObstacle::None) {
@@ -616,6 +645,7 @@
 
 void ForwardedRequest::noteFirstByte()
 {
+    m_wayBack.reset();
     if (!m_firstByte) {
         m_firstByte = m_context.clock.now() - m_sentAt;
     }
@@ -623,12 +653,12 @@
 
 http::Awaitable<bool> ForwardedRequest::awaitFirstByte(EndpointSend &send)
 {
-    while (m_policy.allowsAnotherSend()) {
+    for (int silences = 1; m_policy.allowsAnotherSend(); ++silences) {
         const bool readable = co_await send.connection().waitReadable(firstPatience());
         if (readable) {
             co_return true;
         }
-        if (co_await replaceSilent(send)) {
+        if (co_await replaceSilent(send, silences)) {
             co_return false;
         }
     }
@@ -637,7 +667,7 @@
 
 http::Awaitable<absl::StatusOr<std::string>> ForwardedRequest::readStream(EndpointSend &send)
 {
-    while (m_policy.allowsAnotherSend()) {
+    for (int silences = 1; m_policy.allowsAnotherSend(); ++silences) {
         const auto patience = m_firstByte ? std::min(left(), kStall) : firstPatience();
         auto data = co_await send.connection().readSomeWithin(patience);
         if (!data.ok()) {
@@ -646,7 +676,7 @@
         if (*data) {
             co_return std::move(**data);
         }
-        if (co_await replaceSilent(send)) {
+        if (co_await replaceSilent(send, silences)) {
             co_return absl::DeadlineExceededError("the endpoint was silent");
         }
     }
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -99,13 +99,16 @@
     /// Reads more of a stream; DeadlineExceeded if the endpoint stayed silent and is given up.
     http::Awaitable<absl::StatusOr<std::string>> readStream(EndpointSend &send);
     http::Awaitable<SendReport> relay(EndpointSend &send, const http::Response &head, SendReport report);
-    /// The endpoint of \a send was silent for longer than usual. True if it is given up: m_successor
-    /// takes over, or no time is left.
-    http::Awaitable<bool> replaceSilent(EndpointSend &send);
+    /// The endpoint of \a send was silent for longer than usual, for the \a silences-th time in a
+    /// row. True if it is given up: m_successor takes over, or no time is left.
+    http::Awaitable<bool> replaceSilent(EndpointSend &send, int silences);
+    /// Takes the tokens with which the silent endpoint of \a send may be left for m_successor;
+    /// none if something stands in the way.
+    [[nodiscard]] RetryObstacle takeTokensToLeave(EndpointSend &send, int silences);
     /// Sets m_successor to a send to another endpoint, connected, if nothing stands in the way.
     http::Awaitable<RetryObstacle> findSuccessor();
     /// A send to the endpoint that was given up for its silence, which makes it no further
-    /// endpoint of the request; null if it can't be asked. Once only.
+    /// endpoint of the request; null if it can't be asked. Once only. Draws on m_wayBack.
     [[nodiscard]] std::unique_ptr<EndpointSend> lastResort();
     http::Awaitable<bool> passOn(const std::string &events, const http::Response &head);
     http::Awaitable<void> refuse(Refusal refusal);
@@ -142,6 +145,7 @@
     std::vector<EndpointId> m_tried;
     std::unique_ptr<EndpointSend> m_successor; ///< The next send, if it is secured already.
     std::optional<EndpointId> m_silent; ///< The endpoint that was given up for its silence.
+    std::unique_ptr<ReservedRetry> m_wayBack; ///< For m_silent, until another endpoint's answer begins.
     EventSplitter m_events;
     bool m_streamBegun = false; ///< The caller has got the header of a stream.
     bool m_streamCut = false; ///< The stream ends before its end.
--- a/src/request/policies_test.cc
+++ b/src/request/policies_test.cc
@@ -106,7 +106,11 @@
             const bool available = budget.available(now);
             const bool taken = budget.tryTake(now);
             RC_ASSERT(taken == available);
-            retries += taken ? 1 : 0;
+            if (taken && *rc::gen::inRange(0, 4) == 0) {
+                budget.giveBack();
+            } else {
+                retries += taken ? 1 : 0;
+            }
         }
         const double seconds = std::chrono::duration<double>(now - kStart).count();
         const double bound = options.burst + options.fraction * first + options.perSecond * seconds;
@@ -135,6 +139,21 @@
     cr_assert_not(budget.tryTake(now + 3600s));
 }
 
+Test(retry_budget, gets_a_reserved_token_back_unless_it_is_spent)
+{
+    RetryBudget budget({0.0, 0.0, 1});
+    auto reserved = ReservedRetry::tryTake(budget, kStart);
+    cr_assert(reserved);
+    cr_assert_not(budget.available(kStart));
+    cr_assert(!ReservedRetry::tryTake(budget, kStart));
+    reserved.reset();
+    reserved = ReservedRetry::tryTake(budget, kStart);
+    cr_assert(reserved);
+    reserved->spend();
+    reserved.reset();
+    cr_assert_not(budget.available(kStart));
+}
+
 Test(backoff, grows_to_its_cap_within_the_jitter)
 {
     cr_assert(rc::check([](std::uint64_t seed) {
--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -49,4 +49,21 @@
     return true;
 }
 
+void RetryBudget::giveBack()
+{
+    m_tokens = std::min(m_options.burst, m_tokens + 1.0);
+}
+
+std::unique_ptr<ReservedRetry> ReservedRetry::tryTake(RetryBudget &budget, TimePoint now)
+{
+    return budget.tryTake(now) ? std::unique_ptr<ReservedRetry>(new ReservedRetry(budget)) : nullptr;
+}
+
+ReservedRetry::~ReservedRetry()
+{
+    if (!m_spent) {
+        m_budget.giveBack();
+    }
+}
+
 } // namespace mimosahub
--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -2,6 +2,7 @@
 
 #include "mimosahub/clock.h"
 
+#include <memory>
 #include <optional>
 
 namespace mimosahub
@@ -30,6 +31,8 @@
     [[nodiscard]] bool available(TimePoint now) const;
     /// Takes a token for a retry or hedge; false if there is none.
     [[nodiscard]] bool tryTake(TimePoint now);
+    /// Returns a token that was taken for a retry that was not made.
+    void giveBack();
 
 private:
     [[nodiscard]] double tokensAt(TimePoint now) const;
@@ -39,4 +42,30 @@
     std::optional<TimePoint> m_filledAt; // Absent before the first use.
 };
 
+/// A token of a retry budget that is held for a retry that may become necessary; it
+/// goes back unless the retry is made.
+class ReservedRetry
+{
+public:
+    /// Null if \a budget, which must outlive the token, has none.
+    [[nodiscard]] static std::unique_ptr<ReservedRetry> tryTake(RetryBudget &budget, TimePoint now);
+    ~ReservedRetry();
+    ReservedRetry(const ReservedRetry &) = delete;
+    ReservedRetry &operator=(const ReservedRetry &) = delete;
+
+    /// The retry is made.
+    void spend()
+    {
+        m_spent = true;
+    }
+
+private:
+    explicit ReservedRetry(RetryBudget &budget) : m_budget(budget)
+    {
+    }
+
+    RetryBudget &m_budget;
+    bool m_spent = false;
+};
+
 } // namespace mimosahub
