End a request whose caller is gone, without blame for its endpoint

A write to the caller that failed ended the send as lost: the request was sent to a second endpoint for nobody, took a token of the retry budget, and counted twice against an endpoint that had done nothing wrong. An empty stream whose header could not be written set no loss at all.

Such a send ends as dropped, the request is given up, and the loss is caller-gone.

Before, eight callers that reset their connection within the stream: g0 send-again engine-1 "the caller doesn't read" g0 outcome unknown, sends 2, loss caller-gone, obstacle attempts-used [FAIL] a_request_whose_caller_is_gone_is_not_sent_again (0.17s) It passes now (eight runs, no send-again), three times in a row.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -360,6 +360,10 @@
 NextStep ForwardedRequest::stepAfter(const SendReport &report)
 {
     m_loss = report.loss;
+    if (report.loss == SendLoss::CallerGone) {
+        m_obstacle = RetryObstacle::None;
+        return m_policy.after(report.result, /*mayRetry=*/false);
+    }
     if (m_successor) {
         return m_policy.after(report.result, /*mayRetry=*/true);
     }
@@ -557,7 +561,7 @@
         send->end(SendEnd::ServerError, std::nullopt);
         break;
     case SendResult::Lost:
-        send->end(SendEnd::Lost, std::nullopt);
+        send->end(report.loss == SendLoss::CallerGone ? SendEnd::Dropped : SendEnd::Lost, std::nullopt);
         break;
     case SendResult::Unreachable:
         send->end(SendEnd::Unreachable, std::nullopt);
@@ -724,6 +728,8 @@
     }
     if (!m_streamBegun) {
         if (!co_await passOn("", head)) {
+            report.loss = SendLoss::CallerGone;
+            report.why = "the caller doesn't read";
             co_return report;
         }
     }
