Take a retry token only for a send that is made

stepAfter() took a token of the retry budget before an endpoint was chosen for the send. Where there was none, or the stages could not be prepared again, the token was lost, and requests that could have been sent again met an empty budget.

nextSend() takes it once an endpoint is chosen. Between the two there may be the preparation of the stages, so the budget may be empty by then: the request is then refused with obstacle no-budget, unless its silent endpoint takes it back.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -296,17 +296,33 @@
     return times;
 }
 
+// A repeat draws on the shared budget only if it is made.
+std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> ForwardedRequest::nextSend(bool repeat)
+{
+    if (m_successor) {
+        return std::move(m_successor);
+    }
+    auto choice = chooseSend(query());
+    if (std::holds_alternative<NoEndpointChosen>(choice)) {
+        m_obstacle = RetryObstacle::NoEndpoint;
+    } else if (repeat && !retryBudget().tryTake(m_context.clock.now())) {
+        m_obstacle = RetryObstacle::NoBudget;
+        choice = NoEndpointChosen{Reason::Overloaded, kRetryAfter};
+    } else {
+        return choice;
+    }
+    if (auto last = lastResort()) {
+        return last;
+    }
+    return choice;
+}
+
 http::Awaitable<void> ForwardedRequest::forward()
 {
     retryBudget().deposit();
-    while (true) {
-        auto choice = m_successor ? std::move(m_successor) : chooseSend(query());
+    for (bool repeat = false; true; repeat = true) {
+        auto choice = nextSend(repeat);
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
-            m_obstacle = RetryObstacle::NoEndpoint;
-            m_successor = lastResort();
-            if (m_successor) {
-                continue;
-            }
             auto refusal =
                 makeRefusal(none->reason, "no endpoint may take the request", Step::Choose, none->retryAfter);
             refusal.outcome = m_policy.outcome();
@@ -356,7 +372,6 @@
     }
 }
 
-/// A repeat draws on the shared budget only if it is made.
 NextStep ForwardedRequest::stepAfter(const SendReport &report)
 {
     m_loss = report.loss;
@@ -371,7 +386,6 @@
     m_obstacle = failed ? obstacleToRetry() : RetryObstacle::None;
     const auto next = m_policy.after(report.result, m_obstacle == RetryObstacle::None);
     if (next == NextStep::SendAgain || next == NextStep::PrepareAgain) {
-        static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
         return next;
     }
     if (next == NextStep::GiveUp || (failed && m_streamBegun)) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -87,6 +87,8 @@
     http::Awaitable<std::optional<Refusal>> prepare();
     [[nodiscard]] Duration comeBackAfter();
     http::Awaitable<void> forward();
+    /// The request's next send; \a repeat: it was sent before, so the send takes a token.
+    [[nodiscard]] std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> nextSend(bool repeat);
     /// The endpoint that \a query and a rollout of its service select, with a send that is
     /// counted there.
     [[nodiscard]] std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> chooseSend(EndpointQuery query);
