Give up a stage call only for a slot that can take its pieces

An overdue call was given up as soon as any other endpoint was responsive, with neither a free slot nor memory nor regard for the queue, and all overdue calls at once.

At most as many calls are given up as responsive endpoints have idle slots, with memory for their results, beyond those that the queue will take. A call of the time before an endpoint's restart doesn't count as silence of its new process.

calls_at_endpoints_that_are_all_silent_go_on expected two calls to be given up for one new endpoint with one slot, which is this fault: it now expects one, and two for two new endpoints.

While the queue is never empty, a dead endpoint's call lasts until TCP finds the endpoint dead or its orders expire.

--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace mimosahub
 {
@@ -181,13 +182,18 @@
 }
 
 /// The endpoint that has \a call; null if it is gone or has restarted since.
-BatchPlanner::EndpointState *BatchPlanner::endpointOf(const RunningCall &call)
+const BatchPlanner::EndpointState *BatchPlanner::endpointOf(const RunningCall &call) const
 {
     const auto it = m_endpoints.find(call.endpoint);
     const bool known = it != m_endpoints.end() && it->second.listed.startedAtMs == call.endpointStartedAtMs;
     return known ? &it->second : nullptr;
 }
 
+BatchPlanner::EndpointState *BatchPlanner::endpointOf(const RunningCall &call)
+{
+    return const_cast<EndpointState *>(std::as_const(*this).endpointOf(call));
+}
+
 void BatchPlanner::pause(EndpointState &endpoint, TimePoint now)
 {
     constexpr int kMaxDoublings = 4;
@@ -545,21 +551,46 @@
     return calls;
 }
 
-/// Whether an endpoint can get calls that has answered all of its calls in the usual time.
-bool BatchPlanner::hasResponsiveEndpoint(TimePoint now) const
+/// Idle slots of endpoints that have answered all of their calls in the usual time, without
+/// those that the queue will take.
+std::map<EndpointId, int> BatchPlanner::spareSlots(TimePoint now) const
 {
     std::set<EndpointId> silent;
     for (const auto &[id, call] : m_calls) {
-        if (now >= call.overdueAt) {
+        if (now >= call.overdueAt && endpointOf(call) != nullptr) {
             silent.insert(call.endpoint);
         }
     }
-    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &entry) {
-        return entry.second.usable && entry.second.pausedUntil <= now && !silent.contains(entry.first);
+    std::map<EndpointId, int> slots;
+    const auto most = static_cast<std::size_t>(m_rule.maxPieces);
+    auto callsOfQueue = static_cast<int>((m_queue.size() + most - 1) / most);
+    for (const auto &[id, state] : m_endpoints) {
+        if (!state.usable || state.pausedUntil > now || silent.contains(id)) {
+            continue;
+        }
+        const int idle = std::max(0, m_rule.slots - state.running);
+        const int taken = std::min(idle, callsOfQueue);
+        callsOfQueue -= taken;
+        slots[id] = idle - taken;
+    }
+    return slots;
+}
+
+/// Takes one of \a slots at an endpoint that has memory for the results of \a call.
+bool BatchPlanner::takeSlot(std::map<EndpointId, int> &slots, const RunningCall &call, TimePoint now) const
+{
+    const auto it = std::find_if(slots.begin(), slots.end(), [&](const auto &entry) {
+        return entry.second > 0 && m_memory.isUsageKnown(entry.first, now)
+            && m_memory.fits(entry.first, call.bytes, 1, 0);
     });
+    if (it == slots.end()) {
+        return false;
+    }
+    --it->second;
+    return true;
 }
 
-bool BatchPlanner::mayGiveUp(const RunningCall &call, bool othersRespond, TimePoint now) const
+BatchPlanner::GiveUp BatchPlanner::mayGiveUp(const RunningCall &call, TimePoint now) const
 {
     bool needed = false;
     bool timeLeft = false;
@@ -569,20 +600,27 @@
             continue;
         }
         if (piece.tries + 1 >= m_options.maxTries) {
-            return false;
+            return GiveUp::No;
         }
         needed = true;
         timeLeft = timeLeft || now + m_rule.callTime < it->second.order.expiresAt;
     }
-    return !needed || (othersRespond && timeLeft);
+    if (!needed) {
+        return GiveUp::Yes;
+    }
+    return timeLeft ? GiveUp::ForAnotherEndpoint : GiveUp::No;
 }
 
 std::vector<BatchCallId> BatchPlanner::callsToGiveUp(TimePoint now) const
 {
     std::vector<BatchCallId> ids;
-    const bool othersRespond = hasResponsiveEndpoint(now);
+    auto slots = spareSlots(now);
     for (const auto &[id, call] : m_calls) {
-        if (now >= call.overdueAt && mayGiveUp(call, othersRespond, now)) {
+        if (now < call.overdueAt) {
+            continue;
+        }
+        const auto may = mayGiveUp(call, now);
+        if (may == GiveUp::Yes || (may == GiveUp::ForAnotherEndpoint && takeSlot(slots, call, now))) {
             ids.push_back(id);
         }
     }
--- a/src/forward/batch_planner.h
+++ b/src/forward/batch_planner.h
@@ -112,8 +112,8 @@
     void ended(BatchCallId call, const std::vector<PieceResult> &results, TimePoint now);
     void failed(BatchCallId call, BatchFailure failure, TimePoint now);
     /// Calls in flight that take longer than usual and that are to be given up, since
-    /// another endpoint can make their pieces in time or nobody needs them. An endpoint
-    /// that is silent for a while may be healthy, so other overdue calls go on.
+    /// another endpoint has a slot and memory for their pieces or nobody needs them. An
+    /// endpoint that is silent for a while may be healthy, so other overdue calls go on.
     [[nodiscard]] std::vector<BatchCallId> callsToGiveUp(TimePoint now) const;
     /// Another planner takes over: ends all orders of which no piece was started, with
     /// PieceOutcome::Moved.
@@ -188,6 +188,13 @@
         EndpointHealth health = EndpointHealth::Healthy;
     };
 
+    /// Whether an overdue call may be given up.
+    enum class GiveUp {
+        No,
+        Yes, ///< Nobody needs its pieces.
+        ForAnotherEndpoint, ///< If another endpoint can take its pieces now.
+    };
+
     using Queue = std::vector<QueuedPiece>;
 
     [[nodiscard]] Duration expectedTime(std::size_t pieces) const;
@@ -208,11 +215,13 @@
                                                     TimePoint now);
     [[nodiscard]] BatchCall beginCall(EndpointState &endpoint, RunningCall running, TimePoint now);
     [[nodiscard]] BatchPiece toBatchPiece(const QueuedPiece &piece, TimePoint now) const;
-    [[nodiscard]] bool hasResponsiveEndpoint(TimePoint now) const;
-    [[nodiscard]] bool mayGiveUp(const RunningCall &call, bool othersRespond, TimePoint now) const;
+    [[nodiscard]] std::map<EndpointId, int> spareSlots(TimePoint now) const;
+    [[nodiscard]] bool takeSlot(std::map<EndpointId, int> &slots, const RunningCall &call, TimePoint now) const;
+    [[nodiscard]] GiveUp mayGiveUp(const RunningCall &call, TimePoint now) const;
     void finishPiece(const QueuedPiece &piece, const PieceResult &result, const EndpointId &endpoint, TimePoint now);
     void retry(QueuedPiece piece, PieceOutcome outcome);
     void endOrder(PieceOrderId id, PieceOutcome outcome);
+    [[nodiscard]] const EndpointState *endpointOf(const RunningCall &call) const;
     [[nodiscard]] EndpointState *endpointOf(const RunningCall &call);
     void pause(EndpointState &endpoint, TimePoint now);
     void updateHealth(EndpointState &endpoint, TimePoint now);
--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -481,9 +481,63 @@
     cr_assert_eq(planner.takeCalls(kStart).size(), 2);
     cr_assert(planner.callsToGiveUp(kStart + 5s).empty());
     planner.setEndpoints({endpoint("x"), endpoint("y"), endpoint("z")});
+    cr_assert_eq(planner.callsToGiveUp(kStart + 5s).size(), 1); // "z" has one slot.
+    planner.setEndpoints({endpoint("x"), endpoint("y"), endpoint("z"), endpoint("w")});
     cr_assert_eq(planner.callsToGiveUp(kStart + 5s).size(), 2);
 }
 
+// The call was given up, and its pieces expired behind those that the busy endpoint had to do.
+Test(batch_planner, a_silent_endpoint_s_call_goes_on_while_the_others_are_busy)
+{
+    BatchPlanner planner(rule(1), {});
+    planner.setEndpoints({endpoint("x"), endpoint("y")});
+    planner.add(order("a", 1));
+    const auto silent = planner.takeCalls(kStart);
+    planner.add(order("b", 1));
+    const auto busy = planner.takeCalls(kStart + 1900ms);
+    cr_assert_eq(busy.size(), 1);
+    cr_assert(planner.callsToGiveUp(kStart + 2s).empty());
+    planner.ended(busy[0].id, done(busy[0]), kStart + 2060ms);
+    cr_assert(planner.callsToGiveUp(kStart + 2060ms) == std::vector{silent[0].id});
+}
+
+Test(batch_planner, a_silent_endpoint_s_call_goes_on_while_the_others_lack_memory)
+{
+    BatchPlanner planner(rule(1, 10), {});
+    planner.setEndpoints({endpoint("x"), endpoint("y")});
+    auto large = order("a", 1);
+    large.resultBytes = 6;
+    planner.add(large);
+    const auto first = planner.takeCalls(kStart);
+    cr_assert_eq(first.size(), 1);
+    large.request = RequestId("b");
+    planner.add(large);
+    const auto silent = planner.takeCalls(kStart);
+    cr_assert_eq(silent.size(), 1);
+    planner.ended(first[0].id, done(first[0]), kStart + 160ms);
+    const auto result = done(first[0])[0].handle;
+    cr_assert(planner.callsToGiveUp(kStart + 2s).empty());
+    cr_assert(planner.release({result}).empty());
+    for (const auto &release : planner.takeReleases()) {
+        planner.releaseEnded(release);
+    }
+    cr_assert(planner.callsToGiveUp(kStart + 2s) == std::vector{silent[0].id});
+}
+
+// A call of the time before counted as silence of the new process.
+Test(batch_planner, an_endpoint_that_restarted_is_not_silent_for_an_earlier_call)
+{
+    BatchPlanner planner(rule(), {});
+    auto it = endpoint("x");
+    planner.setEndpoints({it});
+    planner.add(order("a", 1));
+    const auto call = planner.takeCalls(kStart);
+    cr_assert(planner.callsToGiveUp(kStart + 2s).empty());
+    it.startedAtMs = 2;
+    planner.setEndpoints({it});
+    cr_assert(planner.callsToGiveUp(kStart + 2s) == std::vector{call[0].id});
+}
+
 Test(batch_planner, a_silent_endpoint_s_call_is_given_up_once_nobody_needs_it)
 {
     BatchPlanner planner(rule(), {});
