Resume no stream whose events bear no id

A begun stream that broke or was silent was sent again without Last-Event-Id if none of its events had had an id: the caller got it from its beginning once more, as one whole answer. Such a stream now counts as not repeatable once it has begun.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -264,6 +264,9 @@
     if (left() < kMinSendTime) {
         return RetryObstacle::NoTime;
     }
+    if (m_streamBegun && m_events.lastId().empty()) {
+        return RetryObstacle::NotRepeatable; // It would begin again.
+    }
     return retryBudget().available(m_context.clock.now()) ? RetryObstacle::None : RetryObstacle::NoBudget;
 }
 
