Let a connection be waited on before its first call

waitReadable() before the first send() returned at once, since the deadline of the call that it is bounded by was the epoch. The check that 20 ms pass in silence saw only that nothing was readable; it now measures them.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -78,7 +78,7 @@
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context &io, Address peer, const SilenceOptions &silence)
-    : m_peer(std::move(peer)), m_silence(silence), m_stream(io), m_deadline(io)
+    : m_peer(std::move(peer)), m_silence(silence), m_stream(io), m_deadline(io, IoTime::max())
 {
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -84,7 +84,7 @@
     Address m_peer;
     SilenceOptions m_silence;
     beast::tcp_stream m_stream;
-    asio::steady_timer m_deadline; ///< Of the call; its expiry is read and never waited for.
+    asio::steady_timer m_deadline; ///< Of the call, if there was one; its expiry is read and never waited for.
     beast::flat_buffer m_buffer;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     bool m_bytesLeft = false;
--- a/src/http/server_test.cc
+++ b/src/http/server_test.cc
@@ -182,7 +182,9 @@
     auto connection = co_await pool.acquire(address, false);
     cr_assert(connection.ok());
     auto &it = **connection;
+    const auto begin = std::chrono::steady_clock::now();
     cr_assert(!co_await it.waitReadable(20ms));
+    cr_assert(std::chrono::steady_clock::now() - begin >= 20ms);
     auto request = echoRequest("/pause", "");
     cr_assert((co_await it.send(request, 5s)).ok());
     cr_assert(co_await it.waitReadable(5s));
