--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -7,9 +7,11 @@
 // first event: until then another endpoint may still answer.
 //
 // Silence alone ends nothing: an endpoint that sends nothing for longer than usual is
-// given up only once another one, a connection to it and a token of the retry budget
-// stand ready. Until then the request stays with it. The connection is closed before
-// the request is sent again, so that two endpoints never work on it at once.
+// given up only once another one, a connection to it and two tokens of the retry budget
+// stand ready: the second one is held for the way back, should the other endpoint fail.
+// An endpoint that is silent a second time in a row is probably dead and is left for one
+// token. Until then the request stays with it. The connection is closed before the
+// request is sent again, so that two endpoints never work on it at once.
 
 #include "gateway/forwarded_request.h"
 
@@ -35,12 +37,20 @@
 constexpr Duration kLeastPatience = std::chrono::milliseconds(250); ///< With an endpoint's first byte.
 constexpr Duration kLeastStreamPatience = std::chrono::milliseconds(1500);
 constexpr int kPatienceFactor = 5; ///< Of the usual time to the first byte.
+constexpr int kSilencesOfDead = 2; ///< In a row, after which an endpoint is left without a way back.
 constexpr Duration kStall = std::chrono::milliseconds(1500); ///< Longest pause within a stream that may be resumed.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t(8) << 20U;
 constexpr std::uint64_t kMaxRefusalBytes = std::uint64_t(64) << 10U;
 constexpr Duration kRefusalPatience = std::chrono::milliseconds(100); ///< With a refusal's body, which nobody needs.
 constexpr int kMaxForeignAnswers = 2; ///< Late answers to earlier calls that are passed over.
 constexpr int kFirstErrorStatus = 500;
+constexpr int kFirstSuccessStatus = 200;
+constexpr int kFirstRedirectStatus = 300;
+
+bool isSuccess(int status)
+{
+    return status >= kFirstSuccessStatus && status < kFirstRedirectStatus;
+}
 
 SendLoss lossOf(const absl::Status &status)
 {
@@ -169,7 +179,8 @@
 http::Awaitable<std::optional<Refusal>> ForwardedRequest::prepare()
 {
     const auto engine = m_context.selector.preferred(query(), m_context.clock.now());
-    const StagedRequest staged{*m_route, m_call, *m_view, m_arrival, m_uselessAt, m_rank};
+    const auto uselessAt = m_streamBegun ? m_giveUpAt : m_uselessAt;
+    const StagedRequest staged{*m_route, m_call, *m_view, m_arrival, uselessAt, m_rank};
     m_stages.reset();
     m_stages = std::make_unique<RequestStages>(m_context, staged, engine ? std::optional(engine->zone) : std::nullopt);
     m_stages->begin();
@@ -253,6 +264,9 @@
     if (left() < kMinSendTime) {
         return RetryObstacle::NoTime;
     }
+    if (m_streamBegun && m_events.lastId().empty()) {
+        return RetryObstacle::NotRepeatable; // It would begin again.
+    }
     return retryBudget().available(m_context.clock.now()) ? RetryObstacle::None : RetryObstacle::NoBudget;
 }
 
@@ -285,17 +299,33 @@
     return times;
 }
 
+// A repeat draws on the shared budget only if it is made.
+std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> ForwardedRequest::nextSend(bool repeat)
+{
+    if (m_successor) {
+        return std::move(m_successor);
+    }
+    auto choice = chooseSend(query());
+    if (std::holds_alternative<NoEndpointChosen>(choice)) {
+        m_obstacle = RetryObstacle::NoEndpoint;
+    } else if (repeat && !retryBudget().tryTake(m_context.clock.now())) {
+        m_obstacle = RetryObstacle::NoBudget;
+        choice = NoEndpointChosen{Reason::Overloaded, kRetryAfter};
+    } else {
+        return choice;
+    }
+    if (auto last = lastResort()) {
+        return last;
+    }
+    return choice;
+}
+
 http::Awaitable<void> ForwardedRequest::forward()
 {
     retryBudget().deposit();
-    while (true) {
-        auto choice = m_successor ? std::move(m_successor) : chooseSend(query());
+    for (bool repeat = false; true; repeat = true) {
+        auto choice = nextSend(repeat);
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
-            m_obstacle = RetryObstacle::NoEndpoint;
-            m_successor = lastResort();
-            if (m_successor) {
-                continue;
-            }
             auto refusal =
                 makeRefusal(none->reason, "no endpoint may take the request", Step::Choose, none->retryAfter);
             refusal.outcome = m_policy.outcome();
@@ -325,10 +355,6 @@
             }
             co_return;
         case NextStep::PrepareAgain:
-            if (auto refusal = co_await prepare()) {
-                co_await refuse(std::move(*refusal));
-                co_return;
-            }
             break;
         case NextStep::SendAgain:
             logEvent(LogLevel::Info, "send-again")
@@ -340,13 +366,22 @@
             co_await refuse(refusalAfter(report));
             co_return;
         }
+        if (next == NextStep::PrepareAgain || !m_stages->readable()) {
+            if (auto refusal = co_await prepare()) {
+                co_await refuse(std::move(*refusal));
+                co_return;
+            }
+        }
     }
 }
 
-/// A repeat draws on the shared budget only if it is made.
 NextStep ForwardedRequest::stepAfter(const SendReport &report)
 {
     m_loss = report.loss;
+    if (report.loss == SendLoss::CallerGone) {
+        m_obstacle = RetryObstacle::None;
+        return m_policy.after(report.result, /*mayRetry=*/false);
+    }
     if (m_successor) {
         return m_policy.after(report.result, /*mayRetry=*/true);
     }
@@ -354,7 +389,6 @@
     m_obstacle = failed ? obstacleToRetry() : RetryObstacle::None;
     const auto next = m_policy.after(report.result, m_obstacle == RetryObstacle::None);
     if (next == NextStep::SendAgain || next == NextStep::PrepareAgain) {
-        static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
         return next;
     }
     if (next == NextStep::GiveUp || (failed && m_streamBegun)) {
@@ -371,7 +405,9 @@
 
 std::unique_ptr<EndpointSend> ForwardedRequest::lastResort()
 {
-    if (!m_silent || obstacleToRetry() != RetryObstacle::None) {
+    const auto obstacle = obstacleToRetry();
+    const bool paid = m_wayBack && obstacle == RetryObstacle::NoBudget;
+    if (!m_silent || (obstacle != RetryObstacle::None && !paid)) {
         return nullptr;
     }
     auto asked = query();
@@ -381,12 +417,20 @@
     if (std::holds_alternative<NoEndpointChosen>(choice)) {
         return nullptr;
     }
-    static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
+    if (m_wayBack) {
+        m_wayBack->spend();
+        m_wayBack.reset();
+    } else {
+        static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
+    }
     return std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
 }
 
 http::Awaitable<RetryObstacle> ForwardedRequest::findSuccessor()
 {
+    if (!m_stages->readable()) {
+        co_return RetryObstacle::InputsGone;
+    }
     if (const auto obstacle = obstacleToRetry(); obstacle != RetryObstacle::None) {
         co_return obstacle;
     }
@@ -394,6 +438,7 @@
     static_cast<void>(policy.after(SendResult::Lost, /*mayRetry=*/true));
     auto asked = query();
     asked.retryable = policy.allowsAnotherSend();
+    asked.allowPaused = false;
     auto choice = chooseSend(asked);
     if (std::holds_alternative<NoEndpointChosen>(choice)) {
         co_return RetryObstacle::NoEndpoint;
@@ -407,7 +452,27 @@
     co_return RetryObstacle::None;
 }
 
-http::Awaitable<bool> ForwardedRequest::replaceSilent(EndpointSend &send)
+RetryObstacle ForwardedRequest::takeTokensToLeave(EndpointSend &send, int silences)
+{
+    if (!send.connection().idleAndOpen()) {
+        return RetryObstacle::NotNeeded;
+    }
+    const bool needsWayBack = silences < kSilencesOfDead;
+    if (needsWayBack && !m_context.selector.isUsable(send.endpoint().info.id)) {
+        return RetryObstacle::NoWayBack;
+    }
+    const auto now = m_context.clock.now();
+    auto leaving = ReservedRetry::tryTake(retryBudget(), now);
+    auto wayBack = ReservedRetry::tryTake(retryBudget(), now);
+    if (!leaving || (needsWayBack && !wayBack)) {
+        return RetryObstacle::NoBudget;
+    }
+    leaving->spend();
+    m_wayBack = std::move(wayBack);
+    return RetryObstacle::None;
+}
+
+http::Awaitable<bool> ForwardedRequest::replaceSilent(EndpointSend &send, int silences)
 {
     if (left() < kMinSendTime) {
         m_obstacle = RetryObstacle::NoTime;
@@ -416,10 +481,8 @@
         co_return true;
     }
     m_obstacle = co_await findSuccessor();
-    if (m_successor && !send.connection().idleAndOpen()) {
-        m_obstacle = RetryObstacle::NotNeeded;
-    } else if (m_successor && !retryBudget().tryTake(m_context.clock.now())) {
-        m_obstacle = RetryObstacle::NoBudget;
+    if (m_successor) {
+        m_obstacle = takeTokensToLeave(send, silences);
     }
     m_context.metrics.recordSilence(m_obstacle);
     if (m_obstacle != RetryObstacle::None) {
@@ -515,7 +578,7 @@
         send->end(SendEnd::ServerError, std::nullopt);
         break;
     case SendResult::Lost:
-        send->end(SendEnd::Lost, std::nullopt);
+        send->end(report.loss == SendLoss::CallerGone ? SendEnd::Dropped : SendEnd::Lost, std::nullopt);
         break;
     case SendResult::Unreachable:
         send->end(SendEnd::Unreachable, std::nullopt);
@@ -570,15 +633,23 @@
         report.why = absl::StrCat("the endpoint refused it with status ", report.head.status);
         co_return report;
     }
-    const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
-    if (m_route->streaming && events && report.head.certified) {
-        co_return co_await relay(send, *head, std::move(report));
-    }
     if (!report.head.certified) {
         report.why = absl::StrCat("an answer with status ", report.head.status, " came without certificate");
         connection.close();
         co_return report;
     }
+    const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
+    if (m_streamBegun && !(events && isSuccess(report.head.status))) {
+        const bool serverError = report.head.status >= kFirstErrorStatus;
+        report.result = serverError ? SendResult::ServerError : SendResult::Lost;
+        report.loss = SendLoss::BrokenOff;
+        report.why = absl::StrCat("an answer with status ", report.head.status, " doesn't go on with the stream");
+        connection.close();
+        co_return report;
+    }
+    if (m_route->streaming && events) {
+        co_return co_await relay(send, *head, std::move(report));
+    }
     const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
     if (!body.ok()) {
         report.loss = lossOf(body.status());
@@ -595,6 +666,7 @@
 
 void ForwardedRequest::noteFirstByte()
 {
+    m_wayBack.reset();
     if (!m_firstByte) {
         m_firstByte = m_context.clock.now() - m_sentAt;
     }
@@ -602,12 +674,12 @@
 
 http::Awaitable<bool> ForwardedRequest::awaitFirstByte(EndpointSend &send)
 {
-    while (m_policy.allowsAnotherSend()) {
+    for (int silences = 1; m_policy.allowsAnotherSend(); ++silences) {
         const bool readable = co_await send.connection().waitReadable(firstPatience());
         if (readable) {
             co_return true;
         }
-        if (co_await replaceSilent(send)) {
+        if (co_await replaceSilent(send, silences)) {
             co_return false;
         }
     }
@@ -616,7 +688,7 @@
 
 http::Awaitable<absl::StatusOr<std::string>> ForwardedRequest::readStream(EndpointSend &send)
 {
-    while (m_policy.allowsAnotherSend()) {
+    for (int silences = 1; m_policy.allowsAnotherSend(); ++silences) {
         const auto patience = m_firstByte ? std::min(left(), kStall) : firstPatience();
         auto data = co_await send.connection().readSomeWithin(patience);
         if (!data.ok()) {
@@ -625,7 +697,7 @@
         if (*data) {
             co_return std::move(**data);
         }
-        if (co_await replaceSilent(send)) {
+        if (co_await replaceSilent(send, silences)) {
             co_return absl::DeadlineExceededError("the endpoint was silent");
         }
     }
@@ -673,6 +745,8 @@
     }
     if (!m_streamBegun) {
         if (!co_await passOn("", head)) {
+            report.loss = SendLoss::CallerGone;
+            report.why = "the caller doesn't read";
             co_return report;
         }
     }
