Ask for a way back only where a stream has begun

A request to which nothing was passed on can still be refused, so that one token of the retry budget is enough to leave an endpoint that is silent before its first byte. With two tokens asked for, daemons whose budget holds one (each of seventy) would leave a dead endpoint after twice the usual patience only.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -7,11 +7,11 @@
 // first event: until then another endpoint may still answer.
 //
 // Silence alone ends nothing: an endpoint that sends nothing for longer than usual is
-// given up only once another one, a connection to it and two tokens of the retry budget
-// stand ready: the second one is held for the way back, should the other endpoint fail.
-// An endpoint that is silent a second time in a row is probably dead and is left for one
-// token. Until then the request stays with it. The connection is closed before the
-// request is sent again, so that two endpoints never work on it at once.
+// given up only once another one, a connection to it and a token of the retry budget
+// stand ready. Within a stream that has begun a second token is held for the way back,
+// should the other endpoint fail, but for an endpoint that is silent twice in a row,
+// which is probably dead. Until then the request stays with it. The connection is closed
+// before the request is sent again, so that two endpoints never work on it at once.
 
 #include "gateway/forwarded_request.h"
 
@@ -457,7 +457,8 @@
     if (!send.connection().idleAndOpen()) {
         return RetryObstacle::NotNeeded;
     }
-    const bool needsWayBack = silences < kSilencesOfDead;
+    // A caller to whom nothing was passed on can still be refused.
+    const bool needsWayBack = m_streamBegun && silences < kSilencesOfDead;
     if (needsWayBack && !m_context.selector.isUsable(send.endpoint().info.id)) {
         return RetryObstacle::NoWayBack;
     }
