Leave a cold endpoint its rate where no send was made

Each look at a cold endpoint for a silent one's successor used up one of the few sends per second that it may get, though the request stayed where it was. A send that has not begun is now taken back: EndpointSelector::cancel().

Before, with the end that such a send had (Dropped) in place of cancel(): [FAIL] a_choice_that_is_taken_back_leaves_a_cold_endpoint_its_rate: the third choice finds no endpoint, at a rate of two.

--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -261,17 +261,13 @@
 void EndpointSelector::end(const EndpointId &endpoint, const EndpointQuery &query, SendEnd how,
                            std::optional<double> latencyRatio, TimePoint now)
 {
-    const auto service = m_services.find(query.service);
-    if (service == m_services.end()) {
+    auto *found = find(endpoint, query.service);
+    if (found == nullptr) {
         return;
     }
-    const auto it = service->second.endpoints.find(endpoint);
-    if (it == service->second.endpoints.end()) {
-        return;
-    }
-    auto &state = it->second;
-    state.running = std::max(0, state.running - 1);
-    state.tokens = std::max(0.0, state.tokens - query.tokens);
+    auto &service = m_services.at(query.service);
+    auto &state = *found;
+    endFlight(state, query);
     if (latencyRatio) {
         state.latencyRatio = currentLatencyRatio(state, now);
         state.latencyRatio += m_options.latencyRatioWeight * (*latencyRatio - state.latencyRatio);
@@ -280,8 +276,8 @@
     if (how == SendEnd::Answered || how == SendEnd::ServerError || how == SendEnd::Lost) {
         const double errorSample = how == SendEnd::Answered ? 0.0 : 1.0;
         state.errorRate += m_options.errorRateWeight * (errorSample - state.errorRate);
-        service->second.errorRate += m_options.errorRateWeight * (errorSample - service->second.errorRate)
-            / static_cast<double>(service->second.endpoints.size());
+        service.errorRate += m_options.errorRateWeight * (errorSample - service.errorRate)
+            / static_cast<double>(service.endpoints.size());
     }
     if (how == SendEnd::Answered || how == SendEnd::ServerError) {
         state.failures = 0;
@@ -291,6 +287,25 @@
     updateHealth(state, now);
 }
 
+void EndpointSelector::endFlight(State &state, const EndpointQuery &query)
+{
+    state.running = std::max(0, state.running - 1);
+    state.tokens = std::max(0.0, state.tokens - query.tokens);
+}
+
+void EndpointSelector::cancel(const EndpointId &endpoint, const EndpointQuery &query, TimePoint chosenAt)
+{
+    auto *state = find(endpoint, query.service);
+    if (state == nullptr) {
+        return;
+    }
+    endFlight(*state, query);
+    const auto it = std::find(state->coldSends.begin(), state->coldSends.end(), chosenAt);
+    if (it != state->coldSends.end()) {
+        state->coldSends.erase(it);
+    }
+}
+
 void EndpointSelector::updateHealth(State &state, TimePoint now)
 {
     const double latencyRatio = currentLatencyRatio(state, now);
@@ -312,6 +327,16 @@
     }
 }
 
+EndpointSelector::State *EndpointSelector::find(const EndpointId &endpoint, const ServiceId &service)
+{
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return nullptr;
+    }
+    const auto state = it->second.endpoints.find(endpoint);
+    return state == it->second.endpoints.end() ? nullptr : &state->second;
+}
+
 const EndpointSelector::State *EndpointSelector::find(const EndpointId &endpoint) const
 {
     const auto service = m_serviceOf.find(endpoint);
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -91,7 +91,7 @@
     /// cold endpoints are divided; \a rank is this daemon's index among them, from 0.
     void setDaemons(int daemons, int rank);
 
-    /// Chooses an endpoint and counts a send to it as in flight until end() is called.
+    /// Chooses an endpoint and counts a send to it as in flight until end() or cancel() is called.
     [[nodiscard]] std::variant<ListedEndpoint, NoEndpointChosen> choose(const EndpointQuery &query, TimePoint now,
                                                                         Random &random);
     /// The endpoint that the query's affinity selects, if it may be used now.
@@ -101,6 +101,8 @@
     /// no response.
     void end(const EndpointId &endpoint, const EndpointQuery &query, SendEnd how, std::optional<double> latencyRatio,
              TimePoint now);
+    /// Takes back a choice that choose() made at \a chosenAt: nothing was sent.
+    void cancel(const EndpointId &endpoint, const EndpointQuery &query, TimePoint chosenAt);
     /// Records that the endpoint was silent for longer than usual while a send to it goes
     /// on. Like a lost response, a single one is weak evidence.
     void recordSilence(const EndpointId &endpoint, TimePoint now);
@@ -143,6 +145,7 @@
         std::map<EndpointId, State> endpoints;
     };
 
+    [[nodiscard]] State *find(const EndpointId &endpoint, const ServiceId &service);
     [[nodiscard]] const State *find(const EndpointId &endpoint) const;
     [[nodiscard]] State *find(const EndpointId &endpoint);
     [[nodiscard]] std::vector<State *> candidates(ServiceState &service, const EndpointQuery &query,
@@ -150,6 +153,7 @@
     [[nodiscard]] bool mayUse(const ServiceState &service, State &state, const EndpointQuery &query,
                               TimePoint now) const;
     [[nodiscard]] int coldAllowance(const ServiceState &service, const EndpointId &endpoint) const;
+    static void endFlight(State &state, const EndpointQuery &query);
     [[nodiscard]] double loadOf(const State &state, TimePoint now) const;
     [[nodiscard]] double currentLatencyRatio(const State &state, TimePoint now) const;
     [[nodiscard]] double costOf(const ServiceState &service, const State &state, const EndpointQuery &query,
--- a/src/forward/endpoint_selector_test.cc
+++ b/src/forward/endpoint_selector_test.cc
@@ -348,3 +348,19 @@
     selector.setListing({it}, configuration, {}, kStart);
     cr_assert_not(selector.isUsable(id));
 }
+
+// Each look at a cold endpoint that led to no send used up one of its sends.
+Test(endpoint_selector, a_choice_that_is_taken_back_leaves_a_cold_endpoint_its_rate)
+{
+    EndpointSelector selector;
+    Random random(1);
+    selector.setListing({endpoint("x", "a", 3s)}, GatewayConfiguration(parts(2)), {}, kStart);
+    for (int i = 0; i < 5; ++i) {
+        cr_assert(chosen(selector, query(), kStart + i * 1ms, random));
+        selector.cancel(EndpointId("x"), query(), kStart + i * 1ms);
+    }
+    cr_assert_eq(selector.inFlight(kService), 0);
+    cr_assert(chosen(selector, query(), kStart + 10ms, random));
+    cr_assert(chosen(selector, query(), kStart + 11ms, random));
+    cr_assert(!chosen(selector, query(), kStart + 12ms, random));
+}
--- a/src/gateway/endpoint_send.cc
+++ b/src/gateway/endpoint_send.cc
@@ -9,15 +9,20 @@
 namespace mimosahub
 {
 
-EndpointSend::EndpointSend(ForwardContext &context, ListedEndpoint endpoint, EndpointQuery query)
-    : m_context(context), m_endpoint(std::move(endpoint)), m_query(std::move(query))
+EndpointSend::EndpointSend(ForwardContext &context, ListedEndpoint endpoint, EndpointQuery query, TimePoint chosenAt)
+    : m_context(context), m_endpoint(std::move(endpoint)), m_query(std::move(query)), m_chosenAt(chosenAt)
 {
 }
 
 EndpointSend::~EndpointSend()
 {
-    if (!m_ended) {
+    if (m_ended) {
+        return;
+    }
+    if (m_begun) {
         end(SendEnd::Dropped, std::nullopt);
+    } else {
+        m_context.selector.cancel(m_endpoint.info.id, m_query, m_chosenAt);
     }
 }
 
--- a/src/gateway/endpoint_send.h
+++ b/src/gateway/endpoint_send.h
@@ -16,9 +16,9 @@
 class EndpointSend
 {
 public:
-    /// The selector has chosen \a endpoint for \a query.
-    EndpointSend(ForwardContext &context, ListedEndpoint endpoint, EndpointQuery query);
-    /// Drops a send that has not ended.
+    /// The selector has chosen \a endpoint for \a query at \a chosenAt.
+    EndpointSend(ForwardContext &context, ListedEndpoint endpoint, EndpointQuery query, TimePoint chosenAt);
+    /// Drops a send that has not ended, and takes back one that has not begun.
     ~EndpointSend();
     EndpointSend(const EndpointSend &) = delete;
     EndpointSend &operator=(const EndpointSend &) = delete;
@@ -33,6 +33,11 @@
     }
     /// Gives the connection back for other sends, if it can go on.
     void releaseConnection();
+    /// Records that bytes of the request may leave from now on.
+    void begin()
+    {
+        m_begun = true;
+    }
     /// Records how the send ended.
     void end(SendEnd how, std::optional<double> latencyRatio);
     /// The endpoint was silent for longer than usual, and the send goes on. Counts
@@ -47,8 +52,10 @@
     ForwardContext &m_context;
     ListedEndpoint m_endpoint;
     EndpointQuery m_query;
+    TimePoint m_chosenAt;
     std::unique_ptr<http::ClientConnection> m_connection;
     bool m_silent = false;
+    bool m_begun = false;
     bool m_ended = false;
 };
 
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -283,7 +283,7 @@
     if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
         return *none;
     }
-    return std::make_unique<EndpointSend>(m_context, std::get<ListedEndpoint>(choice), std::move(query));
+    return std::make_unique<EndpointSend>(m_context, std::get<ListedEndpoint>(choice), std::move(query), now);
 }
 
 std::optional<AnswerTimes> ForwardedRequest::answerTimes() const
@@ -556,6 +556,7 @@
     auto request = m_context.protocol.writeCall(m_exchange.request(), options(endpoint.info.id));
     m_connection = &send->connection();
     m_sending = true;
+    send->begin();
     report = co_await exchangeWith(*send, std::move(request));
     m_connection = nullptr;
     if (report.head.load) {
