--- a/src/forward/retry_obstacle.h
+++ b/src/forward/retry_obstacle.h
@@ -14,7 +14,7 @@
     NoBudget, ///< The shared retry budget is empty.
     NoEndpoint, ///< No other endpoint may take it now.
     Unreachable, ///< No connection to the other endpoint could be made.
-    NoWayBack, ///< The present endpoint leaves: it could not take the request back.
+    NoFallback, ///< The present endpoint leaves: it could not take the request back.
     InputsGone, ///< The results of its stages can't be read any more.
     NotNeeded, ///< The present endpoint went on meanwhile.
 };
@@ -37,8 +37,8 @@
         return "no-endpoint";
     case RetryObstacle::Unreachable:
         return "unreachable";
-    case RetryObstacle::NoWayBack:
-        return "no-way-back";
+    case RetryObstacle::NoFallback:
+        return "no-fallback";
     case RetryObstacle::InputsGone:
         return "inputs-gone";
     case RetryObstacle::NotNeeded:
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -8,7 +8,7 @@
 //
 // Silence alone ends nothing: an endpoint that sends nothing for longer than usual is
 // given up only once another one, a connection to it and a token of the retry budget
-// stand ready. Within a stream that has begun a second token is held for the way back,
+// stand ready. Within a stream that has begun a second token is held for a return to it,
 // should the other endpoint fail, but for an endpoint that is silent twice in a row,
 // which is probably dead. Until then the request stays with it. The connection is closed
 // before the request is sent again, so that two endpoints never work on it at once.
@@ -37,7 +37,7 @@
 constexpr Duration kLeastPatience = std::chrono::milliseconds(250); ///< With an endpoint's first byte.
 constexpr Duration kLeastStreamPatience = std::chrono::milliseconds(1500);
 constexpr int kPatienceFactor = 5; ///< Of the usual time to the first byte.
-constexpr int kSilencesOfDead = 2; ///< In a row, after which an endpoint is left without a way back.
+constexpr int kSilencesOfDead = 2; ///< In a row, after which an endpoint is left without a fallback.
 constexpr Duration kStall = std::chrono::milliseconds(1500); ///< Longest pause within a stream that may be resumed.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t(8) << 20U;
 constexpr std::uint64_t kMaxRefusalBytes = std::uint64_t(64) << 10U;
@@ -314,7 +314,7 @@
     } else {
         return choice;
     }
-    if (auto last = lastResort()) {
+    if (auto last = fallbackSend()) {
         return last;
     }
     return choice;
@@ -392,7 +392,7 @@
         return next;
     }
     if (next == NextStep::GiveUp || (failed && m_streamBegun)) {
-        m_successor = lastResort();
+        m_successor = fallbackSend();
     }
     if (m_successor) {
         return NextStep::SendAgain;
@@ -403,10 +403,10 @@
     return next;
 }
 
-std::unique_ptr<EndpointSend> ForwardedRequest::lastResort()
+std::unique_ptr<EndpointSend> ForwardedRequest::fallbackSend()
 {
     const auto obstacle = obstacleToRetry();
-    const bool paid = m_wayBack && obstacle == RetryObstacle::NoBudget;
+    const bool paid = m_fallbackRetry && obstacle == RetryObstacle::NoBudget;
     if (!m_silent || (obstacle != RetryObstacle::None && !paid)) {
         return nullptr;
     }
@@ -417,9 +417,9 @@
     if (std::holds_alternative<NoEndpointChosen>(choice)) {
         return nullptr;
     }
-    if (m_wayBack) {
-        m_wayBack->spend();
-        m_wayBack.reset();
+    if (m_fallbackRetry) {
+        m_fallbackRetry->spend();
+        m_fallbackRetry.reset();
     } else {
         static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
     }
@@ -458,18 +458,18 @@
         return RetryObstacle::NotNeeded;
     }
     // A caller to whom nothing was passed on can still be refused.
-    const bool needsWayBack = m_streamBegun && silences < kSilencesOfDead;
-    if (needsWayBack && !m_context.selector.isUsable(send.endpoint().info.id)) {
-        return RetryObstacle::NoWayBack;
+    const bool needsFallback = m_streamBegun && silences < kSilencesOfDead;
+    if (needsFallback && !m_context.selector.isUsable(send.endpoint().info.id)) {
+        return RetryObstacle::NoFallback;
     }
     const auto now = m_context.clock.now();
     auto leaving = ReservedRetry::tryTake(retryBudget(), now);
-    auto wayBack = ReservedRetry::tryTake(retryBudget(), now);
-    if (!leaving || (needsWayBack && !wayBack)) {
+    auto fallback = ReservedRetry::tryTake(retryBudget(), now);
+    if (!leaving || (needsFallback && !fallback)) {
         return RetryObstacle::NoBudget;
     }
     leaving->spend();
-    m_wayBack = std::move(wayBack);
+    m_fallbackRetry = std::move(fallback);
     return RetryObstacle::None;
 }
 
@@ -668,7 +668,7 @@
 
 void ForwardedRequest::noteFirstByte()
 {
-    m_wayBack.reset();
+    m_fallbackRetry.reset();
     if (!m_firstByte) {
         m_firstByte = m_context.clock.now() - m_sentAt;
     }
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -110,8 +110,8 @@
     /// Sets m_successor to a send to another endpoint, connected, if nothing stands in the way.
     http::Awaitable<RetryObstacle> findSuccessor();
     /// A send to the endpoint that was given up for its silence, which makes it no further
-    /// endpoint of the request; null if it can't be asked. Once only. Draws on m_wayBack.
-    [[nodiscard]] std::unique_ptr<EndpointSend> lastResort();
+    /// endpoint of the request; null if it can't be asked. Once only. Draws on m_fallbackRetry.
+    [[nodiscard]] std::unique_ptr<EndpointSend> fallbackSend();
     http::Awaitable<bool> passOn(const std::string &events, const http::Response &head);
     http::Awaitable<void> refuse(Refusal refusal);
     [[nodiscard]] bool inputsFit() const;
@@ -147,7 +147,7 @@
     std::vector<EndpointId> m_tried;
     std::unique_ptr<EndpointSend> m_successor; ///< The next send, if it is secured already.
     std::optional<EndpointId> m_silent; ///< The endpoint that was given up for its silence.
-    std::unique_ptr<ReservedRetry> m_wayBack; ///< For m_silent, until another endpoint's answer begins.
+    std::unique_ptr<ReservedRetry> m_fallbackRetry; ///< For m_silent, until another endpoint's answer begins.
     EventSplitter m_events;
     bool m_streamBegun = false; ///< The caller has got the header of a stream.
     bool m_streamCut = false; ///< The stream ends before its end.
