End the planners' timers before the event loop of the traffic thread

What operators could see: a daemon that had planned stages ended with another code than 0, or not, as its memory happened to be. Cause: ~GatewayTraffic destroys the io context before the StageRunner, whose timers then used the freed timer service.

StageRunner::stop() now ends the timers first, as RolloutDirector does.

--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -89,6 +89,7 @@
     // Requests still open are coroutines held by m_io and use the other members.
     m_server.reset();
     m_rollouts.stop();
+    m_stages.stop();
     m_router.reset();
     m_pool.clear();
     m_io.reset();
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -108,6 +108,13 @@
     *m_alive = false;
 }
 
+void StageRunner::stop()
+{
+    for (auto &[service, desk] : m_desks) {
+        desk->timer.reset();
+    }
+}
+
 void StageRunner::setView(const GatewayView &view)
 {
     if (!view.configuration) {
@@ -290,11 +297,11 @@
     const auto now = m_clock.now();
     const auto next = desk.planner.nextWakeup(now);
     if (!next) {
-        desk.timer.cancel();
+        desk.timer->cancel();
         return;
     }
-    desk.timer.expires_after(*next - now);
-    desk.timer.async_wait([this, alive = m_alive, service](const boost::system::error_code &ec) {
+    desk.timer->expires_after(*next - now);
+    desk.timer->async_wait([this, alive = m_alive, service](const boost::system::error_code &ec) {
         if (!ec && *alive) {
             schedule(service);
         }
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace mimosahub
 {
@@ -25,6 +26,8 @@
                 http::ConnectionPool &pool, MetricRegistry &metrics);
     ~StageRunner() override;
 
+    /// Plans nothing more; to be called before the io context ends.
+    void stop();
     /// Takes the endpoints and the services' rules.
     void setView(const GatewayView &view);
 
@@ -47,7 +50,7 @@
         BatchPlanner planner;
         std::map<PieceOrderId, Done> waiting;
         std::map<BatchCallId, http::ClientConnection *> connections; ///< Of the calls in flight.
-        boost::asio::steady_timer timer;
+        std::optional<boost::asio::steady_timer> timer; ///< Absent once stopped.
         bool pumpPosted = false;
         int refused = 0; ///< Orders not done since the last line on the load.
         TimePoint nextLoadLine;
