Say of a lost send what it held and whether its endpoint has crashed

The log told which request lost which endpoint, but not what the request held, nor whether the endpoint had crashed: a reset connection, a cut answer and a process that ended were one line.

A broken connection is now followed by one attempt to connect to its endpoint, whatever the number of sends that it lost. An endpoint that refuses has crashed. A connection that is accepted goes to the pool. Nothing else is decided by it yet.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -560,6 +560,9 @@
     send->begin();
     report = co_await exchangeWith(*send, std::move(request));
     m_connection = nullptr;
+    if (report.result == SendResult::Lost && report.loss == SendLoss::BrokenOff) {
+        m_context.crashes.record(endpoint, lostSend());
+    }
     if (report.head.load) {
         m_context.selector.recordLoad(endpoint.info.id, report.head.load->running, report.head.load->queued,
                                       m_context.clock.now());
@@ -593,6 +596,19 @@
     co_return report;
 }
 
+LostSend ForwardedRequest::lostSend() const
+{
+    LostSend lost;
+    lost.request = m_call.id;
+    for (std::size_t i = 0; i + 1 < m_call.prompt.size(); ++i) {
+        lost.sharedParts.push_back(m_call.prompt[i].id);
+    }
+    lost.events = static_cast<int>(m_events.events());
+    lost.sentAt = m_sentAt;
+    lost.lostAt = m_context.clock.now();
+    return lost;
+}
+
 http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::exchangeWith(EndpointSend &send, http::Request request)
 {
     auto &connection = send.connection();
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -6,6 +6,7 @@
 #include "forward/retry_obstacle.h"
 #include "forward/send_policy.h"
 #include "gateway/call_protocol.h"
+#include "gateway/crash_detector.h"
 #include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
@@ -44,6 +45,7 @@
     http::ConnectionPool &pool;
     StageWork &stages;
     EndpointSelector &selector;
+    CrashDetector &crashes;
     std::map<ServiceId, RetryBudget> &secondSends;
     RetryBudgetOptions secondSendOptions;
     UsualTimes &usual;
@@ -94,6 +96,7 @@
     [[nodiscard]] std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> chooseSend(EndpointQuery query);
     [[nodiscard]] std::optional<AnswerTimes> answerTimes() const;
     http::Awaitable<SendReport> sendOnce(std::unique_ptr<EndpointSend> send);
+    [[nodiscard]] LostSend lostSend() const;
     [[nodiscard]] NextStep stepAfter(const SendReport &report);
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
     /// False if the endpoint stayed silent and is given up.
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -67,6 +67,7 @@
       m_random(seed),
       m_pool(*m_io, shared.clock, {}),
       m_stages(*m_io, shared.clock, shared.protocol, m_pool, shared.metrics),
+      m_crashes(*m_io, shared.clock, m_pool, shared.metrics),
       m_secondSendSettings(shared.settings.secondSends),
       m_metrics(shared.metrics),
       m_rollouts(*m_io, shared.clock, shared.settings.instance.id, seed,
@@ -79,8 +80,8 @@
 {
     m_context = std::make_unique<ForwardContext>(
         ForwardContext{*m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector,
-                       m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics, m_affinities,
-                       m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
+                       m_crashes, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics,
+                       m_affinities, m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
 }
 
 GatewayTraffic::~GatewayTraffic()
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -70,6 +70,7 @@
     StageRunner m_stages;
     std::unique_ptr<StageRouter> m_router;
     EndpointSelector m_selector;
+    CrashDetector m_crashes;
     SecondSendSettings m_secondSendSettings;
     std::map<ServiceId, RetryBudget> m_secondSends;
     UsualTimes m_usual;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -63,6 +63,9 @@
     if (ec == asio::error::operation_aborted) {
         return absl::StatusCode::kCancelled;
     }
+    if (ec == asio::error::connection_refused) {
+        return absl::StatusCode::kNotFound;
+    }
     using Error = beast::http::error;
     if (ec == Error::header_limit || ec == Error::body_limit) {
         return absl::StatusCode::kResourceExhausted;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,7 +31,7 @@
 public:
     ClientConnection(asio::io_context &io, Address peer, const SilenceOptions &silence = {});
 
-    /// Connects within \a timeout.
+    /// Connects within \a timeout. Error: NotFound if the peer refuses connections.
     Awaitable<absl::Status> connect(Duration timeout);
     /// Writes \a request and begins a call, which ends within \a timeout: no read
     /// of its answer goes on after that, whatever that read may take by itself.
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -38,6 +38,11 @@
     if (auto idle = takeIdle(peer, proven ? m_options.provenAge : m_options.maxIdle)) {
         co_return idle;
     }
+    co_return co_await connect(std::move(peer));
+}
+
+Awaitable<absl::StatusOr<std::unique_ptr<ClientConnection>>> ConnectionPool::connect(Address peer)
+{
     auto connection = std::make_unique<ClientConnection>(m_io, std::move(peer), m_options.silence);
     const auto status = co_await connection->connect(m_options.connectTimeout);
     if (!status.ok()) {
@@ -46,6 +51,16 @@
     co_return connection;
 }
 
+Awaitable<absl::Status> ConnectionPool::open(Address peer)
+{
+    auto connection = co_await connect(std::move(peer));
+    if (!connection.ok()) {
+        co_return connection.status();
+    }
+    release(std::move(*connection));
+    co_return absl::OkStatus();
+}
+
 void ConnectionPool::release(std::unique_ptr<ClientConnection> connection)
 {
     if (!connection->reusable()) {
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -30,6 +30,9 @@
     /// A connection to \a peer. With \a proven, one that was opened for this call
     /// or has carried an answer a moment ago: for calls that can't be sent again.
     Awaitable<absl::StatusOr<std::unique_ptr<ClientConnection>>> acquire(Address peer, bool proven);
+    /// Opens a connection to \a peer that a later acquire() may return. Error: NotFound if
+    /// \a peer refuses connections, others as of ClientConnection::connect().
+    Awaitable<absl::Status> open(Address peer);
     /// Takes back a connection; it is kept only if its last answer was whole.
     void release(std::unique_ptr<ClientConnection> connection);
 
@@ -49,6 +52,7 @@
         std::unique_ptr<ClientConnection> connection;
         TimePoint since;
     };
+    Awaitable<absl::StatusOr<std::unique_ptr<ClientConnection>>> connect(Address peer);
     std::unique_ptr<ClientConnection> takeIdle(const Address &peer, Duration maxAge);
 
     asio::io_context &m_io;
