Plan the pieces of a call that broke off apart from others

A piece that crashes its endpoint is planned again, up to four times, in calls with pieces of other requests: each time an endpoint goes, and all other pieces of the call are made again or, after four tries, given up with their requests.

Cause: the planner knew only that a call was lost, not that its connection broke, and nothing of which orders were in it before.

Now an order of a call that broke off gets calls of its own, so that whatever crashes next hits it alone, and it ends with the third. Calls that were given up for silence, refused or never sent count as before.

With the sharing of calls as it was, 'apart.size() == 2' is false: both orders are in one call again. The property test draws calls that broke off, too.

--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -172,8 +172,11 @@
             pause(*endpoint, now);
         }
     }
+    if (failure == BatchFailure::BrokenOff) {
+        recordBrokenCall(running.pieces);
+    }
     for (const auto &piece : running.pieces) {
-        if (failure == BatchFailure::Lost) {
+        if (failure == BatchFailure::Lost || failure == BatchFailure::BrokenOff) {
             retry(piece, PieceOutcome::Failed);
         } else if (m_orders.contains(piece.order)) {
             m_queue.push_back(piece);
@@ -181,6 +184,27 @@
     }
 }
 
+void BatchPlanner::recordBrokenCall(const Queue &pieces)
+{
+    std::set<PieceOrderId> orders;
+    for (const auto &piece : pieces) {
+        orders.insert(piece.order);
+    }
+    for (const auto id : orders) {
+        const auto it = m_orders.find(id);
+        if (it != m_orders.end() && ++it->second.brokenCalls >= m_options.maxBrokenCalls) {
+            endOrder(id, PieceOutcome::Failed);
+        }
+    }
+}
+
+/// Whether pieces of \a order may be in a call with \a pieces.
+bool BatchPlanner::mayShareCall(PieceOrderId order, const Queue &pieces) const
+{
+    const auto isBroken = [this](PieceOrderId id) { return m_orders.at(id).brokenCalls > 0; };
+    return pieces.empty() || (!isBroken(order) && !isBroken(pieces.front().order));
+}
+
 /// The endpoint that has \a call; null if it is gone or has restarted since.
 const BatchPlanner::EndpointState *BatchPlanner::endpointOf(const RunningCall &call) const
 {
@@ -474,7 +498,7 @@
             std::find_if(begin, m_queue.end(), [&](const auto &piece) { return piece.order != begin->order; });
         const auto &order = m_orders.at(begin->order).order;
         auto taken = begin;
-        if (mayRunIn(order, endpoint.listed.info.zone, waits, now)) {
+        if (mayShareCall(begin->order, running.pieces) && mayRunIn(order, endpoint.listed.info.zone, waits, now)) {
             const auto count = static_cast<std::size_t>(end - begin);
             auto n = std::min(count, most - running.pieces.size());
             while (n > 0 && !m_memory.fits(endpoint.listed.info.id, order.resultBytes, n, running.bytes)) {
--- a/src/forward/batch_planner.h
+++ b/src/forward/batch_planner.h
@@ -64,11 +64,15 @@
     NotRun, ///< The endpoint responded that it did not run it.
     Unreachable, ///< No byte was sent: no connection could be made, or it closed before.
     Lost, ///< The call may have run.
+    BrokenOff, ///< The same, since its connection broke: it may have crashed its endpoint.
 };
 
 struct BatchPlannerOptions {
     double overdueFactor = 3.0; ///< Of the expected time of a call, after which it is overdue, without overdueSlack.
     Duration overdueSlack = std::chrono::milliseconds(400); ///< Added for each call.
+    /// Calls of an order that broke off, after which it ends. From the first one on, its pieces
+    /// are in calls of their own: if they crash endpoints, no other order is hit again.
+    int maxBrokenCalls = 3;
     int maxTries = 4; ///< Calls per piece, not counting those that an endpoint refused.
     Duration refusedPause = std::chrono::milliseconds(40); ///< Pause of an endpoint after it refused a call.
     Duration failedPause = std::chrono::milliseconds(300); ///< After a failed call; doubles with each further one.
@@ -157,6 +161,7 @@
         PieceOrder order;
         std::vector<ResultHandle> handles;
         int missing = 0; ///< Pieces without a result.
+        int brokenCalls = 0; ///< Calls with its pieces that broke off.
     };
     struct ZoneWait {
         int endpoints = 0; ///< Endpoints of the zone that may get calls.
@@ -218,6 +223,8 @@
     [[nodiscard]] std::map<EndpointId, int> spareSlots(TimePoint now) const;
     [[nodiscard]] bool takeSlot(std::map<EndpointId, int> &slots, const RunningCall &call, TimePoint now) const;
     [[nodiscard]] GiveUp mayGiveUp(const RunningCall &call, TimePoint now) const;
+    void recordBrokenCall(const Queue &pieces);
+    [[nodiscard]] bool mayShareCall(PieceOrderId order, const Queue &pieces) const;
     void finishPiece(const QueuedPiece &piece, const PieceResult &result, const EndpointId &endpoint, TimePoint now);
     void retry(QueuedPiece piece, PieceOutcome outcome);
     void endOrder(PieceOrderId id, PieceOutcome outcome);
--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -93,7 +93,9 @@
                 const auto call = calls.begin()->second;
                 calls.erase(calls.begin());
                 if (event == 6) {
-                    planner.failed(call.id, *rc::gen::element(BatchFailure::NotRun, BatchFailure::Lost), now);
+                    planner.failed(call.id,
+                                   *rc::gen::element(BatchFailure::NotRun, BatchFailure::Lost, BatchFailure::BrokenOff),
+                                   now);
                 } else {
                     auto results = done(call);
                     if (event == 7) {
@@ -260,6 +262,37 @@
     cr_assert(second[0].endpoint.info.id != first[0].endpoint.info.id);
 }
 
+// An order that crashes endpoints took the other orders of its calls with it, each time anew.
+Test(batch_planner, orders_of_a_call_that_broke_off_go_on_apart)
+{
+    BatchPlanner planner(rule(), {});
+    planner.setEndpoints({endpoint("x"), endpoint("y"), endpoint("z")});
+    planner.add(order("deadly", 1));
+    planner.add(order("sound", 1));
+    const auto together = planner.takeCalls(kStart);
+    cr_assert_eq(together.size(), 1);
+    cr_assert_eq(together[0].pieces.size(), 2);
+    planner.failed(together[0].id, BatchFailure::BrokenOff, kStart + 100ms);
+    const auto apart = planner.takeCalls(kStart + 100ms);
+    cr_assert_eq(apart.size(), 2);
+    for (const auto &call : apart) {
+        cr_assert_eq(call.pieces.size(), 1);
+        if (call.pieces[0].request.str() == "deadly") {
+            planner.failed(call.id, BatchFailure::BrokenOff, kStart + 200ms);
+        } else {
+            planner.ended(call.id, done(call), kStart + 300ms);
+        }
+    }
+    const auto last = planner.takeCalls(kStart + 2s);
+    cr_assert_eq(last.size(), 1);
+    planner.failed(last[0].id, BatchFailure::BrokenOff, kStart + 2100ms);
+    const auto ended = planner.takeEnded();
+    cr_assert_eq(ended.size(), 2);
+    cr_expect(ended[0].result.outcome == PieceOutcome::Done);
+    cr_expect(ended[1].result.outcome == PieceOutcome::Failed);
+    cr_expect(planner.takeCalls(kStart + 5s).empty());
+}
+
 Test(batch_planner, an_order_that_cannot_be_done_in_time_ends_at_once)
 {
     BatchPlanner planner(rule(), {});
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -22,9 +22,12 @@
 constexpr std::uint64_t kMaxShortAnswer = std::uint64_t(64) << 10U; ///< Bytes of an answer to a release or question.
 constexpr std::uint64_t kMaxAnswer = std::uint64_t(4) << 20U; ///< Bytes of a call's answer.
 
-BatchFailure failureOf(const http::ClientConnection &connection)
+BatchFailure failureOf(const http::ClientConnection &connection, const absl::Status &status)
 {
-    return connection.bytesLeft() ? BatchFailure::Lost : BatchFailure::Unreachable;
+    if (!connection.bytesLeft()) {
+        return BatchFailure::Unreachable;
+    }
+    return absl::IsUnavailable(status) ? BatchFailure::BrokenOff : BatchFailure::Lost;
 }
 
 } // namespace
@@ -322,7 +325,7 @@
                             ->call(m_protocol.writeBatch(call.endpoint.info.id, call.pieces), call.timeout, kMaxAnswer);
     connections.erase(call.id);
     if (!answer.ok()) {
-        failed(service, call, failureOf(**connection), answer.status());
+        failed(service, call, failureOf(**connection, answer.status()), answer.status());
         co_return;
     }
     m_pool.release(std::move(*connection));
@@ -348,7 +351,7 @@
         .with("service", service)
         .with("endpoint", call.endpoint.info.id)
         .with("pieces", call.pieces.size())
-        .with("not_run", failure != BatchFailure::Lost)
+        .with("not_run", failure == BatchFailure::NotRun || failure == BatchFailure::Unreachable)
         .with(status);
     deskOf(service)->planner.failed(call.id, failure, m_clock.now());
     schedule(service);
