--- a/include/mimosahub/outcome.h
+++ b/include/mimosahub/outcome.h
@@ -48,6 +48,7 @@
     NotFresh, ///< This daemon can't prove that its configuration is current: it has not read it
               ///< yet, or is disconnected from the log and from most other daemons.
     LogDown, ///< The claim can't be appended to the platform's log.
+    Quarantined, ///< Endpoints crash under a part of the request's content.
     Draining, ///< This daemon is stopping.
     CallerLeft, ///< The caller closed its connection.
 };
--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -71,10 +71,45 @@
   routes @8 :List(RouteOutcomes);
 }
 
+struct CrashReport {
+  service @0 :Text;
+  part @1 :Text;
+  endpoint @2 :Text;
+  startedAtMs @3 :Int64;
+  sentAgeUs @4 :Int64;
+  crashAgeUs @5 :Int64;
+}
+
+struct AnswerReport {
+  service @0 :Text;
+  part @1 :Text;
+  ageUs @2 :Int64;
+}
+
+struct Quarantine {
+  service @0 :Text;
+  part @1 :Text;
+  number @2 :UInt32;
+  ended @3 :Bool;
+  trials @4 :UInt32;
+  answeredBefore @5 :Bool;
+  crashes @6 :UInt32;
+  sinceAgeUs @7 :Int64;
+  changedAgeUs @8 :Int64;
+}
+
+struct QuarantineMessage {
+  digest @0 :UInt64;
+  crashes @1 :List(CrashReport);
+  answers @2 :List(AnswerReport);
+  quarantines @3 :List(Quarantine);
+}
+
 interface StageProtocol {
   run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (loads :List(BatchLoad));
   readTable @3 (table :UInt8, from :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord), documents :UInt64);
   reportSplit @4 (report :SplitReport) -> (known :Bool, phase :UInt8, reason :Text);
+  exchangeQuarantines @5 (message :QuarantineMessage) -> (message :QuarantineMessage);
 }
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -44,6 +44,7 @@
     ReasonRow{Reason::EndpointLost, "endpoint-lost", 502},
     ReasonRow{Reason::NotFresh, "not-fresh", 503},
     ReasonRow{Reason::LogDown, "log-down", 503},
+    ReasonRow{Reason::Quarantined, "quarantined", 503},
     ReasonRow{Reason::Draining, "draining", 503},
     ReasonRow{Reason::CallerLeft, "caller-left", 499},
 };
--- a/src/ctl/session.cc
+++ b/src/ctl/session.cc
@@ -32,9 +32,16 @@
         ExitCode (Session::*function)();
     };
     constexpr std::array kRows = {
-        Row{"check", &Session::check},     Row{"diff", &Session::diff},     Row{"publish", &Session::publish},
-        Row{"order", &Session::order},     Row{"orders", &Session::orders}, Row{"status", &Session::status},
-        Row{"explain", &Session::explain}, Row{"top", &Session::top},
+        Row{"check", &Session::check},
+        Row{"diff", &Session::diff},
+        Row{"publish", &Session::publish},
+        Row{"order", &Session::order},
+        Row{"orders", &Session::orders},
+        Row{"status", &Session::status},
+        Row{"explain", &Session::explain},
+        Row{"top", &Session::top},
+        Row{"quarantines", &Session::quarantines},
+        Row{"end-quarantine", &Session::endQuarantine},
     };
     const auto it =
         std::find_if(kRows.begin(), kRows.end(), [&](const Row &row) { return row.name == m_line.command; });
--- a/src/ctl/session.h
+++ b/src/ctl/session.h
@@ -45,6 +45,8 @@
     ExitCode status();
     ExitCode explain();
     ExitCode top();
+    ExitCode quarantines();
+    ExitCode endQuarantine();
 
     /// Reads and checks the deployment that the command names; empty after a problem, which is written.
     std::optional<ObjectMap> readDeployment();
--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -26,6 +26,7 @@
     Endpoints, ///< One entry for each endpoint, written by the endpoint.
     Status, ///< Progress of orders, written by daemons.
     Daemons, ///< Addresses at which daemons reach each other; each writes its own.
+    Quarantines, ///< Parts of prompts that crash endpoints, written by daemons.
 };
 
 /// The name of \a table in log messages, such as "operator-documents".
@@ -71,6 +72,9 @@
     Lost, ///< There was no response: the record may have been appended or may be appended later.
 };
 
+/// The name of \a result in log messages, such as "appended".
+[[nodiscard]] std::string_view appendResultName(AppendResult result);
+
 /// Access to the store. Control thread only.
 class KeyedStore
 {
--- a/src/follow/keyed_table.cc
+++ b/src/follow/keyed_table.cc
@@ -18,12 +18,29 @@
         return "endpoints";
     case StoreTable::Status:
         return "status";
+    case StoreTable::Quarantines:
+        return "quarantines";
     case StoreTable::Daemons:
         return "daemons";
     }
     return "";
 }
 
+std::string_view appendResultName(AppendResult result)
+{
+    switch (result) {
+    case AppendResult::Appended:
+        return "appended";
+    case AppendResult::Conflict:
+        return "conflict";
+    case AppendResult::Refused:
+        return "refused";
+    case AppendResult::Lost:
+        return "lost";
+    }
+    return "";
+}
+
 void KeyedTable::beginPages()
 {
     m_unseen = m_offsets;
--- /dev/null
+++ b/src/forward/answered_parts.cc
@@ -0,0 +1,62 @@
+#include "forward/answered_parts.h"
+
+#include "base/hash.h"
+
+#include <utility>
+
+namespace mimosahub
+{
+
+namespace
+{
+
+std::uint64_t keyOf(const SharedPart &part)
+{
+    return hashBytes(part.part, hashBytes(part.service.str()));
+}
+
+} // namespace
+
+AnsweredParts::Entry *AnsweredParts::find(std::uint64_t key)
+{
+    if (const auto it = m_recent.find(key); it != m_recent.end()) {
+        return &it->second;
+    }
+    const auto node = m_older.extract(key);
+    if (node.empty()) {
+        return nullptr;
+    }
+    return &m_recent.emplace(key, node.mapped()).first->second;
+}
+
+void AnsweredParts::recordAnswer(const SharedPart &part, TimePoint now)
+{
+    const auto key = keyOf(part);
+    if (auto *entry = find(key)) {
+        *entry = {now, 0};
+        return;
+    }
+    if (m_recent.size() >= m_capacity) {
+        m_older = std::exchange(m_recent, {});
+    }
+    m_recent[key] = {now, 0};
+}
+
+std::optional<int> AnsweredParts::recordCrash(const SharedPart &part)
+{
+    auto *entry = find(keyOf(part));
+    return entry == nullptr ? std::nullopt : std::optional(++entry->crashes);
+}
+
+std::optional<TimePoint> AnsweredParts::answeredAt(const SharedPart &part) const
+{
+    const auto key = keyOf(part);
+    for (const auto *generation : {&m_recent, &m_older}) {
+        if (const auto it = generation->find(key); it != generation->end()) {
+            return it->second.answeredAt;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace mimosahub
--- a/src/forward/daemon_directory.cc
+++ b/src/forward/daemon_directory.cc
@@ -86,6 +86,16 @@
     return owner;
 }
 
+std::vector<InstanceId> DaemonDirectory::others() const
+{
+    std::vector<InstanceId> others;
+    others.reserve(m_daemons.size());
+    for (const auto &[id, state] : m_daemons) {
+        others.push_back(id);
+    }
+    return others;
+}
+
 std::optional<Address> DaemonDirectory::addressOf(const InstanceId &daemon) const
 {
     const auto it = m_daemons.find(daemon);
--- a/src/forward/daemon_directory.h
+++ b/src/forward/daemon_directory.h
@@ -54,6 +54,8 @@
 
     /// The daemon that plans for \a key; this daemon's id if no other is known.
     [[nodiscard]] InstanceId ownerOf(std::string_view key) const;
+    /// All listed daemons but this one.
+    [[nodiscard]] std::vector<InstanceId> others() const;
     [[nodiscard]] std::optional<Address> addressOf(const InstanceId &daemon) const;
     /// Whether \a daemon is listed and not suspected.
     [[nodiscard]] bool isResponsive(const InstanceId &daemon) const;
--- a/src/forward/retry_obstacle.h
+++ b/src/forward/retry_obstacle.h
@@ -16,6 +16,7 @@
     Unreachable, ///< No connection to the other endpoint could be made.
     NoFallback, ///< The present endpoint leaves: it could not take the request back.
     InputsGone, ///< The results of its stages can't be read any more.
+    Suspected, ///< Endpoints crash under a part of its prompt.
     NotNeeded, ///< The present endpoint went on meanwhile.
 };
 
@@ -41,6 +42,8 @@
         return "no-fallback";
     case RetryObstacle::InputsGone:
         return "inputs-gone";
+    case RetryObstacle::Suspected:
+        return "suspected";
     case RetryObstacle::NotNeeded:
         return "not-needed";
     }
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -81,20 +81,29 @@
 void ForwardedRequest::cutShort()
 {
     m_giveUpAt = m_context.clock.now();
-    if (m_stages) {
-        m_stages->wake();
-    }
+    wake();
     if (m_connection != nullptr) {
         m_connection->close();
     }
 }
 
+void ForwardedRequest::wake()
+{
+    if (m_stages) {
+        m_stages->wake();
+    }
+}
+
 http::Awaitable<void> ForwardedRequest::run()
 {
     if (auto refusal = resolve()) {
         co_await refuse(std::move(*refusal));
         co_return;
     }
+    if (auto refusal = co_await checkQuarantine()) {
+        co_await refuse(std::move(*refusal));
+        co_return;
+    }
     if (auto refusal = co_await prepare()) {
         co_await refuse(std::move(*refusal));
         co_return;
@@ -102,6 +111,36 @@
     co_await forward();
 }
 
+http::Awaitable<std::optional<Refusal>> ForwardedRequest::checkQuarantine()
+{
+    const auto verdict = m_context.quarantine.check(m_service, m_sharedParts);
+    if (verdict.kind == QuarantineVerdict::Kind::TrialDue) {
+        m_isTrial = co_await m_context.quarantine.claimTrial(verdict.parts);
+    }
+    co_return quarantineRefusal();
+}
+
+std::optional<Refusal> ForwardedRequest::quarantineRefusal() const
+{
+    if (m_isTrial) {
+        return std::nullopt;
+    }
+    const auto verdict = m_context.quarantine.check(m_service, m_sharedParts);
+    if (verdict.kind == QuarantineVerdict::Kind::Allowed) {
+        return std::nullopt;
+    }
+    Refusal refusal;
+    refusal.outcome = m_policy.outcome();
+    refusal.reason = Reason::EndpointLost;
+    refusal.detail = "endpoints crashed under part " + verdict.parts.front().part + " of the prompt";
+    refusal.step = std::string(stepName(Step::Admit));
+    if (refusal.outcome == Outcome::NotRun) { // Which the status of Quarantined says.
+        refusal.reason = Reason::Quarantined;
+        refusal.retryAfter = verdict.retryAfter;
+    }
+    return refusal;
+}
+
 http::Awaitable<void> ForwardedRequest::fail(std::string what)
 {
     m_loss = SendLoss::InternalError;
@@ -156,6 +195,7 @@
         m_uselessAt = std::min(m_giveUpAt, TimePoint(m_arrival + m_route->maxStartWait));
     }
     m_policy = SendPolicy({m_route->repeatable(), m_route->maxAttempts});
+    m_sharedParts = sharedPartsOf(m_call.prompt);
     double total = 0.0;
     for (const auto &share : m_route->services) {
         total += share.weight;
@@ -185,6 +225,10 @@
     m_stages = std::make_unique<RequestStages>(m_context, staged, engine ? std::optional(engine->zone) : std::nullopt);
     m_stages->begin();
     while (!m_stages->ended()) {
+        if (auto refusal = quarantineRefusal()) {
+            m_stages->drop();
+            co_return refusal;
+        }
         if (left() < kMinSendTime) {
             const auto reason = m_context.stop.refusing ? Reason::Draining : Reason::DeadlinePassed;
             auto refusal = makeRefusal(reason, "the stages took too long", Step::Choose, kElsewhere);
@@ -267,6 +311,9 @@
     if (m_streamBegun && m_events.lastId().empty()) {
         return RetryObstacle::NotRepeatable; // It would begin again.
     }
+    if (m_isTrial || !m_context.quarantine.table().mayRetry(m_service, m_sharedParts)) {
+        return RetryObstacle::Suspected;
+    }
     return retryBudget().available(m_context.clock.now()) ? RetryObstacle::None : RetryObstacle::NoBudget;
 }
 
@@ -324,6 +371,10 @@
 {
     retryBudget().deposit();
     for (bool repeat = false; true; repeat = true) {
+        if (auto refusal = quarantineRefusal()) {
+            co_await refuse(std::move(*refusal));
+            co_return;
+        }
         auto choice = nextSend(repeat);
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
             auto refusal =
@@ -338,9 +389,12 @@
                             m_context.selector.isCold(endpoint.id, m_context.clock.now()));
         m_firstByte.reset();
         auto report = co_await sendOnce(std::move(send));
-        if (report.loss != SendLoss::CallerGone) {
+        if (speaksOfVersion(report)) {
             counted.end(report.result, answerTimes());
         }
+        if (report.result == SendResult::Answered && isSuccess(report.head.status)) {
+            m_context.quarantine.recordAnswer(m_service, m_sharedParts);
+        }
         const auto next = stepAfter(report);
         m_sending = false;
         switch (next) {
@@ -501,6 +555,9 @@
 
 Refusal ForwardedRequest::refusalAfter(const SendReport &report) const
 {
+    if (auto quarantined = quarantineRefusal()) {
+        return *std::move(quarantined);
+    }
     Refusal refusal;
     refusal.outcome = m_policy.outcome();
     refusal.detail = report.why;
@@ -552,6 +609,12 @@
         report.why = "no time was left after connecting";
         co_return report;
     }
+    if (auto refusal = quarantineRefusal()) {
+        report.result = SendResult::Unreachable;
+        report.why = std::move(refusal->detail);
+        send->releaseConnection();
+        co_return report;
+    }
     m_sentAt = m_context.clock.now();
     m_firstByte.reset();
     auto request = m_context.protocol.writeCall(m_exchange.request(), options(endpoint.info.id));
@@ -596,13 +659,17 @@
     co_return report;
 }
 
+bool ForwardedRequest::speaksOfVersion(const SendReport &report) const
+{
+    return report.loss != SendLoss::CallerGone
+        && (report.loss != SendLoss::BrokenOff || m_context.quarantine.table().allAnswered(m_service, m_sharedParts));
+}
+
 LostSend ForwardedRequest::lostSend() const
 {
     LostSend lost;
     lost.request = m_call.id;
-    for (std::size_t i = 0; i + 1 < m_call.prompt.size(); ++i) {
-        lost.sharedParts.push_back(m_call.prompt[i].id);
-    }
+    lost.sharedParts = m_sharedParts;
     lost.events = static_cast<int>(m_events.events());
     lost.sentAt = m_sentAt;
     lost.lostAt = m_context.clock.now();
@@ -795,6 +862,9 @@
     if (m_streamBegun) {
         noteStreamCut();
     }
+    if (refusal.reason == Reason::Quarantined) {
+        m_context.quarantine.recordRefusal();
+    }
     logEnd(outcomeName(refusal.outcome), absl::StrCat(std::string(reasonName(refusal.reason)), ": ", refusal.detail));
     if (m_streamBegun) {
         // The caller sees that the stream broke, since it has no end.
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -10,6 +10,7 @@
 #include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
+#include "gateway/quarantine_director.h"
 #include "gateway/request_stages.h"
 #include "gateway/rollout_director.h"
 #include "gateway/usual_times.h"
@@ -46,6 +47,7 @@
     StageWork &stages;
     EndpointSelector &selector;
     CrashDetector &crashes;
+    QuarantineDirector &quarantine;
     std::map<ServiceId, RetryBudget> &secondSends;
     RetryBudgetOptions secondSendOptions;
     UsualTimes &usual;
@@ -74,6 +76,8 @@
     http::Awaitable<void> fail(std::string what);
     /// The daemon ends: gives the request up now.
     void cutShort();
+    /// Something changed that may end the request while it waits for its stages.
+    void wake();
 
 private:
     /// How a send ended.
@@ -86,6 +90,9 @@
     };
 
     [[nodiscard]] std::optional<Refusal> resolve();
+    /// Why the request may not be sent, since its prompt holds a part that is quarantined.
+    http::Awaitable<std::optional<Refusal>> checkQuarantine();
+    [[nodiscard]] std::optional<Refusal> quarantineRefusal() const;
     http::Awaitable<std::optional<Refusal>> prepare();
     [[nodiscard]] Duration comeBackAfter();
     http::Awaitable<void> forward();
@@ -97,6 +104,9 @@
     [[nodiscard]] std::optional<AnswerTimes> answerTimes() const;
     http::Awaitable<SendReport> sendOnce(std::unique_ptr<EndpointSend> send);
     [[nodiscard]] LostSend lostSend() const;
+    /// Whether \a report says something of the version of its endpoint: a connection that broke
+    /// under content that nobody has seen answered may say more of the content.
+    [[nodiscard]] bool speaksOfVersion(const SendReport &report) const;
     [[nodiscard]] NextStep stepAfter(const SendReport &report);
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
     /// False if the endpoint stayed silent and is given up.
@@ -142,6 +152,8 @@
     ServiceId m_service;
     int m_rank = 0; ///< 0 is the most urgent.
     std::string m_affinity;
+    std::vector<std::string> m_sharedParts; ///< Of its prompt.
+    bool m_isTrial = false; ///< Let through to see whether a quarantine can end.
     SendPolicy m_policy{{}};
 
     std::unique_ptr<RequestStages> m_stages; ///< From the request's preparation on.
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -21,6 +21,7 @@
 
 constexpr Duration kAnnouncePause = std::chrono::seconds(2);
 constexpr BackoffOptions kAnnounceBackoff = {std::chrono::milliseconds(200), 2.0, std::chrono::seconds(2), 0.5};
+constexpr Duration kQuarantinePatience = std::chrono::seconds(1); ///< Of a start, once all else was read.
 constexpr Duration kLeavePatience = std::chrono::milliseconds(500);
 
 /// A read that waits on a connection that has gone silent keeps an old
@@ -75,12 +76,11 @@
 
 GatewayControl::GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
                                const MakeStore &makeStore, TableQueryClient &asker, TableRelay &endpointTable,
-                               MetricRegistry &metrics, GatewayViews &views, std::function<void()> onView,
-                               std::uint64_t seed)
+                               MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks, std::uint64_t seed)
     : m_clock(clock),
       m_documents(documents),
       m_views(views),
-      m_onView(std::move(onView)),
+      m_callbacks(std::move(callbacks)),
       m_work(boost::asio::make_work_guard(m_io)),
       m_random(seed),
       m_pool(m_io, clock, storePoolOptions()),
@@ -90,10 +90,13 @@
       m_endpoints(m_io, *m_store, *this, m_random, endpointOptions(settings.store)),
       m_daemons(m_io, *m_store, *this, m_random, daemonOptions()),
       m_rollouts(m_io, clock, *m_store, documents, *this, m_random),
+      m_quarantines(m_io, clock, *m_store, *this, m_random,
+                    [this](std::vector<Quarantine> stored) { m_callbacks.quarantinesStored(std::move(stored)); }),
       m_directory(settings.store.lapseGrace),
       m_self(entryOf(settings, clock)),
       m_announceTimer(m_io),
       m_expiryTimer(m_io),
+      m_quarantineTimer(m_io),
       m_unreadable(metrics),
       m_storeFailures(metrics.counter("mimosahub_store_calls_failed_total", "Calls of the store that failed.")),
       m_version(metrics.gauge("mimosahub_configuration_version", "The configuration in force."))
@@ -110,6 +113,7 @@
     m_operators.start();
     m_endpoints.start();
     m_daemons.start();
+    m_quarantines.start();
     http::spawn(m_io, announceLoop());
     m_thread = std::thread([this] { http::runEventLoop(m_io, "control"); });
 }
@@ -126,6 +130,7 @@
         m_endpoints.stop();
         m_daemons.stop();
         m_rollouts.stop();
+        m_quarantines.stop();
         m_io.stop();
     });
     m_thread.join();
@@ -146,6 +151,9 @@
     if (table == StoreTable::Status) {
         m_rollouts.takeChanges(changes, complete);
     }
+    if (table == StoreTable::Quarantines) {
+        m_quarantines.takeChanges(changes, complete);
+    }
     m_endpointsRead = m_endpointsRead || (table == StoreTable::Endpoints && complete);
     publish();
 }
@@ -163,6 +171,7 @@
         takeDaemon(change);
         break;
     case StoreTable::Status:
+    case StoreTable::Quarantines:
         break; // Taken as a whole.
     }
 }
@@ -299,6 +308,18 @@
     boost::asio::post(m_io, [this, wanted] { m_rollouts.want(wanted); });
 }
 
+void GatewayControl::wantQuarantine(const Quarantine &quarantine, bool own)
+{
+    boost::asio::post(m_io, [this, quarantine, own] { m_quarantines.want(quarantine, own); });
+}
+
+void GatewayControl::claimTrial(const Quarantine &quarantine, std::function<void(bool)> onResult)
+{
+    boost::asio::post(m_io, [this, quarantine, onResult = std::move(onResult)]() mutable {
+        m_quarantines.claim(quarantine, std::move(onResult));
+    });
+}
+
 void GatewayControl::leave()
 {
     boost::asio::post(m_io, [this] {
@@ -318,16 +339,37 @@
     for (const auto &[id, entry] : m_listedDaemons) {
         if (id == m_self.id) {
             m_rollouts.setRank(static_cast<int>(view->daemons.size()));
+            m_quarantines.setRank(static_cast<int>(view->daemons.size()));
         }
         view->daemons.push_back(entry);
     }
     view->rollouts = m_rollouts.list();
     m_views.store(std::move(view));
-    m_caughtUp = m_configuration != nullptr && m_endpointsRead;
-    m_onView();
+    checkCaughtUp();
+    m_callbacks.viewChanged();
     armExpiry();
 }
 
+// Without the quarantines a daemon would send what all others refuse. The other daemons
+// tell them, too, so that it doesn't wait for long if only that table can't be read.
+void GatewayControl::checkCaughtUp()
+{
+    if (m_caughtUp || !m_configuration || !m_endpointsRead) {
+        return;
+    }
+    if (m_quarantines.complete() || m_quarantineWaitOver) {
+        m_caughtUp = true;
+    } else if (!std::exchange(m_quarantineWaitBegun, true)) {
+        m_quarantineTimer.expires_after(kQuarantinePatience);
+        m_quarantineTimer.async_wait([this](const boost::system::error_code &ec) {
+            if (!ec) {
+                m_quarantineWaitOver = true;
+                checkCaughtUp();
+            }
+        });
+    }
+}
+
 void GatewayControl::armExpiry()
 {
     const auto next = m_directory.nextExpiry();
@@ -359,7 +401,7 @@
     if (m_storeLost) {
         m_storeLost = false;
         m_directory.storeReturned(m_clock.now());
-        for (auto *follower : {&m_operators, &m_endpoints, &m_daemons}) {
+        for (auto *follower : {&m_operators, &m_endpoints, &m_daemons, &m_quarantines.follower()}) {
             if (follower->table() != table) {
                 follower->restartRead();
             }
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -6,6 +6,7 @@
 #include "gateway/document_reader.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
+#include "gateway/quarantine_store_loop.h"
 #include "gateway/relayed_store.h"
 #include "gateway/rollout_status_loop.h"
 #include "gateway/unreadable_documents.h"
@@ -28,10 +29,15 @@
     /// Makes the store's client, which may use the pool.
     using MakeStore = std::function<std::unique_ptr<KeyedStore>(http::ConnectionPool &pool, const Address &address)>;
 
-    /// All arguments must outlive this object. \a onView is called after each new view.
+    struct Callbacks {
+        std::function<void()> viewChanged; ///< Called after each new view.
+        std::function<void(std::vector<Quarantine>)> quarantinesStored; ///< As the store holds them.
+    };
+
+    /// All arguments must outlive this object.
     GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
                    const MakeStore &makeStore, TableQueryClient &asker, TableRelay &endpointTable,
-                   MetricRegistry &metrics, GatewayViews &views, std::function<void()> onView, std::uint64_t seed);
+                   MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks, std::uint64_t seed);
     ~GatewayControl() override;
 
     void start();
@@ -43,6 +49,11 @@
     void stop();
     /// Has a rollout's status written. Any thread.
     void wantStatus(const WantedStatus &wanted);
+    /// Has a quarantine written; see QuarantineStoreLoop::want(). Any thread.
+    void wantQuarantine(const Quarantine &quarantine, bool own);
+    /// Claims a trial; see QuarantineStoreLoop::claim(). \a onResult is called on the control
+    /// thread. Any thread.
+    void claimTrial(const Quarantine &quarantine, std::function<void(bool)> onResult);
     [[nodiscard]] boost::asio::io_context &io()
     {
         return m_io;
@@ -65,6 +76,7 @@
     http::Awaitable<void> announceLoop();
     http::Awaitable<void> withdraw();
     void publish();
+    void checkCaughtUp();
     void armExpiry();
     void compareDocuments();
     void takeChange(StoreTable table, const KeyedChange &change);
@@ -72,7 +84,7 @@
     const Clock &m_clock;
     const DocumentReader &m_documents;
     GatewayViews &m_views;
-    std::function<void()> m_onView;
+    Callbacks m_callbacks;
     boost::asio::io_context m_io{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     Random m_random;
@@ -82,6 +94,7 @@
     KeyedFollower m_endpoints;
     KeyedFollower m_daemons;
     RolloutStatusLoop m_rollouts;
+    QuarantineStoreLoop m_quarantines;
     EndpointDirectory m_directory;
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::map<std::string, ZoneId> m_closedZones; ///< By the key of the order.
@@ -92,6 +105,9 @@
     bool m_endpointsRead = false;
     bool m_storeLost = false;
     boost::asio::steady_timer m_expiryTimer;
+    boost::asio::steady_timer m_quarantineTimer;
+    bool m_quarantineWaitBegun = false;
+    bool m_quarantineWaitOver = false;
     std::atomic<bool> m_caughtUp{false};
     UnreadableDocuments m_unreadable;
     Counter &m_storeFailures;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -9,6 +9,7 @@
 #include "gateway/gateway_traffic.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
 
 #include <iostream>
 
@@ -26,11 +27,13 @@
 constexpr Duration kLastAnswers = std::chrono::milliseconds(150); ///< For answers on their way.
 constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
 
-/// The small servers for the balancer and for metrics.
+/// The small servers for the balancer, and for metrics and operators.
 class SideServers
 {
 public:
-    SideServers(boost::asio::io_context &io, MetricRegistry &metrics) : m_io(io), m_metrics(metrics)
+    /// All arguments must outlive the servers.
+    SideServers(boost::asio::io_context &io, const Clock &clock, MetricRegistry &metrics, GatewayTraffic &traffic)
+        : m_io(io), m_clock(clock), m_metrics(metrics), m_traffic(traffic)
     {
     }
 
@@ -46,6 +49,16 @@
         auto &droppedLines = m_metrics.gauge("mimosahub_log_lines_dropped",
                                              "Log lines dropped since the start since nobody read them in time.");
         const auto metrics = [this, &droppedLines](http::Exchange &exchange) -> http::Awaitable<void> {
+            const auto path = http::pathOf(http::fromBeast(exchange.request().target()));
+            if (path == "/quarantines") {
+                co_await exchange.answer(
+                    http::makeResponse(200, http::kJsonType, m_traffic.quarantines().render(m_clock.now())));
+                co_return;
+            }
+            if (path == "/quarantines/end") {
+                co_await exchange.answer(endQuarantine(exchange.request()));
+                co_return;
+            }
             droppedLines.set(static_cast<double>(LogOutput::dropped()));
             co_await exchange.answer(http::makeResponse(200, "text/plain; version=0.0.4", m_metrics.render()));
         };
@@ -53,6 +66,26 @@
     }
 
 private:
+    /// Ends the quarantine that the body of \a request names.
+    http::Response endQuarantine(const http::Request &request)
+    {
+        boost::json::error_code ec;
+        const auto body = boost::json::parse(request.body(), ec);
+        const auto *object = ec ? nullptr : body.if_object();
+        const auto *service = object == nullptr ? nullptr : object->if_contains("service");
+        const auto *part = object == nullptr ? nullptr : object->if_contains("part");
+        if (request.method() != http::beast::http::verb::post || service == nullptr || part == nullptr
+            || !service->is_string() || !part->is_string()) {
+            return http::makeResponse(400, http::kJsonType, R"({"error": "POST {\"service\": ..., \"part\": ...}"})");
+        }
+        const SharedPart named{ServiceId(std::string(service->get_string())), std::string(part->get_string())};
+        logEvent(LogLevel::Info, "quarantine-end-asked")
+            .with("service", named.service)
+            .with("part", std::string_view(named.part));
+        m_traffic.endQuarantine(named);
+        return http::makeResponse(202, http::kJsonType, "{}");
+    }
+
     absl::Status add(const Address &address, http::Handler handler)
     {
         auto server = http::Server::listen(m_io, address, {}, std::move(handler));
@@ -64,7 +97,9 @@
     }
 
     boost::asio::io_context &m_io;
+    const Clock &m_clock;
     MetricRegistry &m_metrics;
+    GatewayTraffic &m_traffic;
     std::vector<std::shared_ptr<http::Server>> m_servers;
 };
 
@@ -149,10 +184,17 @@
     }
     GatewayControl control(
         clock, settings, adapter.documents, adapter.makeStore, **traffic, endpointTable, metrics, views,
-        [&] { (*traffic)->viewChanged(); }, seed + 1);
+        {[&] { (*traffic)->viewChanged(); },
+         [&](std::vector<Quarantine> stored) { (*traffic)->takeStoredQuarantines(std::move(stored)); }},
+        seed + 1);
     (*traffic)->connectRollouts([&](const WantedStatus &wanted) { control.wantStatus(wanted); });
+    (*traffic)->connectQuarantine(
+        {[&](const Quarantine &quarantine, bool own) { control.wantQuarantine(quarantine, own); },
+         [&](const Quarantine &quarantine, std::function<void(bool)> onResult) {
+             control.claimTrial(quarantine, std::move(onResult));
+         }});
     std::atomic<bool> serving{true};
-    SideServers sides(control.io(), metrics);
+    SideServers sides(control.io(), clock, metrics, **traffic);
     if (const auto status = sides.listen(settings.listen, [&] { return serving && control.caughtUp(); });
         !status.ok()) {
         return fail(status);
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -68,6 +68,7 @@
       m_pool(*m_io, shared.clock, {}),
       m_stages(*m_io, shared.clock, shared.protocol, m_pool, shared.metrics),
       m_crashes(*m_io, shared.clock, m_pool, shared.metrics),
+      m_quarantine(*m_io, shared.clock, shared.metrics, m_random),
       m_secondSendSettings(shared.settings.secondSends),
       m_metrics(shared.metrics),
       m_rollouts(*m_io, shared.clock, shared.settings.instance.id, seed,
@@ -80,8 +81,8 @@
 {
     m_context = std::make_unique<ForwardContext>(
         ForwardContext{*m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector,
-                       m_crashes, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics,
-                       m_affinities, m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
+                       m_crashes, m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual,
+                       m_metrics, m_affinities, m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
 }
 
 GatewayTraffic::~GatewayTraffic()
@@ -90,6 +91,7 @@
     // Requests still open are coroutines held by m_io and use the other members.
     m_server.reset();
     m_rollouts.stop();
+    m_quarantine.stop();
     m_stages.stop();
     m_router.reset();
     m_pool.clear();
@@ -200,6 +202,28 @@
     m_rollouts.connect(*m_router, {std::move(wantStatus), [this] { setStages(*m_shared.views.load()); }});
 }
 
+void GatewayTraffic::connectQuarantine(QuarantineStore store)
+{
+    m_router->setQuarantine(m_quarantine);
+    m_quarantine.connect(*m_router, {std::move(store.want), std::move(store.claimTrial), [this] {
+                                         for (auto *request : m_stop.open) {
+                                             request->wake();
+                                         }
+                                     }});
+    m_crashes.onCrash(
+        [this](const ListedEndpoint &endpoint, const auto &sends) { m_quarantine.recordCrash(endpoint, sends); });
+}
+
+void GatewayTraffic::takeStoredQuarantines(std::vector<Quarantine> quarantines)
+{
+    boost::asio::post(*m_io, [this, quarantines = std::move(quarantines)] { m_quarantine.takeStored(quarantines); });
+}
+
+void GatewayTraffic::endQuarantine(const SharedPart &part)
+{
+    boost::asio::post(*m_io, [this, part] { m_quarantine.end(part); });
+}
+
 http::Awaitable<void> GatewayTraffic::handle(http::Exchange &exchange)
 {
     ForwardedRequest request(*m_context, exchange);
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -38,6 +38,22 @@
     void viewChanged();
     /// To be called before start(). \a wantStatus is called on the traffic thread.
     void connectRollouts(std::function<void(const WantedStatus &)> wantStatus);
+    /// How quarantines reach the store. Called on the traffic thread.
+    struct QuarantineStore {
+        std::function<void(const Quarantine &quarantine, bool own)> want;
+        std::function<void(const Quarantine &quarantine, std::function<void(bool)> onResult)> claimTrial;
+    };
+    /// To be called before start().
+    void connectQuarantine(QuarantineStore store);
+    /// Takes the quarantines that the store holds. Any thread.
+    void takeStoredQuarantines(std::vector<Quarantine> quarantines);
+    /// Ends a quarantine, as an operator wants. Any thread.
+    void endQuarantine(const SharedPart &part);
+    /// Any thread.
+    [[nodiscard]] const QuarantineList &quarantines() const
+    {
+        return m_quarantine.list();
+    }
     /// The shared budget of second sends has changed. Any thread.
     void setSecondSends(const SecondSendSettings &settings);
     /// Ends each caller's connection with its next answer. Any thread.
@@ -71,6 +87,7 @@
     std::unique_ptr<StageRouter> m_router;
     EndpointSelector m_selector;
     CrashDetector m_crashes;
+    QuarantineDirector m_quarantine;
     SecondSendSettings m_secondSendSettings;
     std::map<ServiceId, RetryBudget> m_secondSends;
     UsualTimes m_usual;
--- /dev/null
+++ b/src/gateway/quarantine_director.cc
@@ -0,0 +1,353 @@
+// News goes to some peers at once, and from there on to others, so that all daemons have
+// it within a few hops, also where two zones can't reach each other but a third one
+// reaches both. While there are quarantines, each daemon besides compares what it knows
+// with one peer after the other: that finds who was cut off or has just started.
+
+#include "gateway/quarantine_director.h"
+
+#include "base/log.h"
+
+#include <absl/strings/str_join.h>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace mimosahub
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Duration kFlushDelay = 20ms; ///< News of one crash goes out together.
+constexpr std::size_t kFanout = 5; ///< Peers to which news goes at once.
+constexpr std::size_t kMaxReports = 128; ///< Crashes, and answers, of one message.
+constexpr Duration kCompareInterval = 300ms;
+constexpr Duration kCompareIntervalAtRest = 3s;
+constexpr double kCompareSpread = 0.2;
+constexpr Duration kRestAfter = 30s; ///< Since the last change of a quarantine.
+constexpr Duration kClaimPatience = 500ms; ///< With the store.
+constexpr Duration kClaimPause = 2s; ///< After a claim that failed.
+
+template<typename Report>
+void appendBounded(std::vector<Report> &to, std::vector<Report> from)
+{
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+    if (to.size() > kMaxReports) {
+        to.erase(to.begin(), to.end() - kMaxReports);
+    }
+}
+
+std::int64_t secondsBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(to - from).count();
+}
+
+} // namespace
+
+/// A claim whose result is still to come.
+struct QuarantineDirector::Claim {
+    explicit Claim(boost::asio::io_context &io) : timer(io)
+    {
+    }
+    boost::asio::steady_timer timer;
+    bool granted = false;
+};
+
+void QuarantineList::set(std::vector<Quarantine> quarantines)
+{
+    const std::lock_guard lock(m_mutex);
+    m_quarantines = std::move(quarantines);
+}
+
+std::string QuarantineList::render(TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    boost::json::array list;
+    for (const auto &it : m_quarantines) {
+        list.push_back(boost::json::object{{"service", it.part.service.str()},
+                                           {"part", it.part.part},
+                                           {"active", !it.ended},
+                                           {"number", it.number},
+                                           {"crashes", it.crashes},
+                                           {"trials", it.trials},
+                                           {"answered_before", it.answeredBefore},
+                                           {"age_s", secondsBetween(it.since, now)},
+                                           {"changed_s", secondsBetween(it.changedAt, now)}});
+    }
+    return boost::json::serialize(boost::json::object{{"quarantines", std::move(list)}});
+}
+
+QuarantineDirector::QuarantineDirector(boost::asio::io_context &io, const Clock &clock, MetricRegistry &metrics,
+                                       Random &random)
+    : m_io(io),
+      m_clock(clock),
+      m_random(random),
+      m_flushTimer(io),
+      m_compareTimer(io),
+      m_active(metrics.gauge("mimosahub_quarantines", "Parts of prompts whose requests are refused.")),
+      m_suspects(metrics.gauge("mimosahub_quarantine_suspects", "Parts of prompts that are looked at after crashes.")),
+      m_begun(metrics.counter("mimosahub_quarantines_begun_total", "Quarantines of which this daemon learnt.")),
+      m_ended(metrics.counter("mimosahub_quarantines_ended_total", "Quarantines whose end this daemon learnt.")),
+      m_trials(metrics.counter("mimosahub_quarantine_trials_total", "Trials that this daemon claimed.")),
+      m_refusals(metrics.counter("mimosahub_quarantine_refusals_total", "Requests refused for a quarantine.")),
+      m_messages(metrics.counter("mimosahub_quarantine_messages_total", "Messages on quarantines to other daemons."))
+{
+}
+
+void QuarantineDirector::connect(QuarantinePeers &peers, Callbacks callbacks)
+{
+    m_peers = &peers;
+    m_callbacks = std::move(callbacks);
+}
+
+void QuarantineDirector::stop()
+{
+    m_flushTimer.reset();
+    m_compareTimer.reset();
+}
+
+void QuarantineDirector::recordAnswer(const ServiceId &service, const std::vector<std::string> &parts)
+{
+    m_table.recordAnswer(service, parts, m_clock.now());
+    spread();
+}
+
+void QuarantineDirector::recordCrash(const ListedEndpoint &endpoint, const std::vector<LostSend> &sends)
+{
+    std::map<std::string, TimePoint> parts;
+    auto crashedAt = m_clock.now();
+    for (const auto &send : sends) {
+        for (const auto &part : send.sharedParts) {
+            parts[part] = std::max(parts[part], send.sentAt);
+        }
+        crashedAt = std::min(crashedAt, send.lostAt);
+    }
+    m_table.recordCrash(endpoint.info.service, {endpoint.info.id, endpoint.startedAtMs}, parts, crashedAt);
+    spread();
+}
+
+QuarantineMessage QuarantineDirector::takeMessage(const QuarantineMessage &message)
+{
+    m_table.merge(message.news, m_clock.now());
+    spread();
+    const auto digest = m_table.digest();
+    return {digest, digest == message.digest ? QuarantineNews() : allQuarantines()};
+}
+
+void QuarantineDirector::takeStored(const std::vector<Quarantine> &quarantines)
+{
+    m_table.merge({{}, {}, quarantines}, m_clock.now());
+    spread();
+    const auto known = m_table.quarantines();
+    for (const auto &stored : quarantines) {
+        const auto it =
+            std::find_if(known.begin(), known.end(), [&](const auto &other) { return other.part == stored.part; });
+        if (it != known.end() && it->supersedes(stored)) {
+            m_callbacks.store(*it, /*own=*/false);
+        }
+    }
+}
+
+void QuarantineDirector::end(const SharedPart &part)
+{
+    if (m_table.end(part, m_clock.now())) {
+        spread();
+    }
+}
+
+// The first part's claim stands for all: requests with the same parts compete for it.
+http::Awaitable<bool> QuarantineDirector::claimTrial(std::vector<SharedPart> parts)
+{
+    const auto part = parts.front();
+    const auto wanted = m_table.withTrial(part, m_clock.now());
+    if (!wanted || m_clock.now() < m_noClaimBefore || !m_claims.insert(part).second) {
+        co_return false;
+    }
+    // The caller may leave meanwhile, which destroys this coroutine.
+    const std::shared_ptr<void> claimed(nullptr, [this, part](void *) { m_claims.erase(part); });
+    const auto claim = std::make_shared<Claim>(m_io);
+    claim->timer.expires_after(kClaimPatience);
+    m_callbacks.claimTrial(*wanted, [&io = m_io, claim](bool granted) {
+        boost::asio::post(io, [claim, granted] {
+            claim->granted = granted;
+            claim->timer.cancel();
+        });
+    });
+    co_await claim->timer.async_wait(http::kTuple);
+    if (!claim->granted) {
+        m_noClaimBefore = m_clock.now() + kClaimPause;
+        co_return false;
+    }
+    m_trials.add();
+    QuarantineNews begun;
+    for (const auto &tried : parts) {
+        if (const auto quarantine = m_table.withTrial(tried, m_clock.now())) {
+            begun.quarantines.push_back(*quarantine);
+        }
+    }
+    m_table.merge(begun, m_clock.now());
+    spread();
+    co_return true;
+}
+
+/// Hands on what the table has learnt.
+void QuarantineDirector::spread()
+{
+    auto news = m_table.takeNews();
+    publishChanges();
+    if (news.empty()) {
+        return;
+    }
+    m_suspects.set(static_cast<double>(m_table.suspects()));
+    appendBounded(m_outgoing.crashes, std::move(news.crashes));
+    appendBounded(m_outgoing.answers, std::move(news.answers));
+    m_outgoing.quarantines.insert(m_outgoing.quarantines.end(), news.quarantines.begin(), news.quarantines.end());
+    if (m_flushArmed || !m_flushTimer) {
+        return;
+    }
+    m_flushArmed = true;
+    m_flushTimer->expires_after(kFlushDelay);
+    m_flushTimer->async_wait([this](const boost::system::error_code &ec) {
+        if (!ec) {
+            m_flushArmed = false;
+            flush();
+        }
+    });
+}
+
+void QuarantineDirector::publishChanges()
+{
+    const auto changes = m_table.takeChanges();
+    if (changes.empty()) {
+        return;
+    }
+    m_changedAt = m_clock.now();
+    bool begun = false;
+    for (const auto &[quarantine, decidedHere] : changes) {
+        logChange(quarantine);
+        if (quarantine.ended) {
+            m_ended.add();
+        } else if (quarantine.trials == 0) {
+            m_begun.add();
+        }
+        begun = begun || !quarantine.ended;
+        m_callbacks.store(quarantine, decidedHere);
+    }
+    auto all = m_table.quarantines();
+    m_active.set(static_cast<double>(std::count_if(all.begin(), all.end(), [](const auto &it) { return !it.ended; })));
+    m_list.set(std::move(all));
+    if (m_compareTimer) {
+        m_compareTimer->cancel(); // The interval is shorter now.
+    }
+    m_compareArmed = false;
+    armCompare();
+    if (begun) {
+        m_callbacks.begun();
+    }
+}
+
+void QuarantineDirector::logChange(const Quarantine &quarantine) const
+{
+    logEvent(LogLevel::Warning, "quarantine")
+        .with("service", quarantine.part.service)
+        .with("part", std::string_view(quarantine.part.part))
+        .with("state",
+              quarantine.ended            ? std::string_view("ended")
+                  : quarantine.trials > 0 ? std::string_view("trial")
+                                          : std::string_view("begun"))
+        .with("number", quarantine.number)
+        .with("crashes", quarantine.crashes)
+        .with("endpoints",
+              absl::StrJoin(m_table.crashedEndpoints(quarantine.part), ",",
+                            [](std::string *out, const EndpointId &id) { out->append(id.str()); }))
+        .with("trials", quarantine.trials)
+        .with("answered_before", quarantine.answeredBefore)
+        .with("age", Duration(m_clock.now() - quarantine.since));
+}
+
+void QuarantineDirector::flush()
+{
+    auto peers = m_peers->peers();
+    std::shuffle(peers.begin(), peers.end(), m_random.engine());
+    peers.resize(std::min(peers.size(), kFanout));
+    const auto news = std::exchange(m_outgoing, {});
+    for (const auto &peer : peers) {
+        send(peer, news);
+    }
+}
+
+void QuarantineDirector::send(const InstanceId &peer, QuarantineNews news)
+{
+    m_messages.add();
+    m_peers->exchangeQuarantines(peer, {m_table.digest(), std::move(news)}, [this, peer](const auto &answer) {
+        if (answer) {
+            takeAnswer(peer, *answer, /*complete=*/false);
+        }
+    });
+}
+
+/// \a complete: \a peer has got all that this daemon knows.
+void QuarantineDirector::takeAnswer(const InstanceId &peer, const QuarantineMessage &answer, bool complete)
+{
+    m_table.merge(answer.news, m_clock.now());
+    spread();
+    if (complete || m_table.digest() == answer.digest) {
+        return;
+    }
+    m_messages.add();
+    m_peers->exchangeQuarantines(peer, {m_table.digest(), allQuarantines()}, [this, peer](const auto &last) {
+        if (last) {
+            takeAnswer(peer, *last, /*complete=*/true);
+        }
+    });
+}
+
+QuarantineNews QuarantineDirector::allQuarantines() const
+{
+    return {{}, {}, m_table.quarantines()};
+}
+
+void QuarantineDirector::armCompare()
+{
+    if (m_compareArmed || !m_compareTimer || m_table.digest() == 0) {
+        return;
+    }
+    m_compareArmed = true;
+    const bool atRest = m_clock.now() - m_changedAt > kRestAfter;
+    m_compareTimer->expires_after(m_random.jitter(atRest ? kCompareIntervalAtRest : kCompareInterval, kCompareSpread));
+    m_compareTimer->async_wait([this](const boost::system::error_code &ec) {
+        if (!ec) {
+            m_compareArmed = false;
+            compare();
+        }
+    });
+}
+
+void QuarantineDirector::compare()
+{
+    if (const auto peer = nextPeer()) {
+        send(*peer, {});
+    }
+    armCompare();
+}
+
+std::optional<InstanceId> QuarantineDirector::nextPeer()
+{
+    if (m_toCompare.empty()) {
+        m_toCompare = m_peers->peers();
+        std::shuffle(m_toCompare.begin(), m_toCompare.end(), m_random.engine());
+    }
+    if (m_toCompare.empty()) {
+        return std::nullopt;
+    }
+    auto peer = std::move(m_toCompare.back());
+    m_toCompare.pop_back();
+    return peer;
+}
+
+} // namespace mimosahub
--- a/src/gateway/rollout_status_loop.cc
+++ b/src/gateway/rollout_status_loop.cc
@@ -23,21 +23,6 @@
     return options;
 }
 
-std::string_view appendResultName(AppendResult result)
-{
-    switch (result) {
-    case AppendResult::Appended:
-        return "appended";
-    case AppendResult::Conflict:
-        return "conflict";
-    case AppendResult::Refused:
-        return "refused";
-    case AppendResult::Lost:
-        return "lost";
-    }
-    return "";
-}
-
 } // namespace
 
 RolloutStatusLoop::RolloutStatusLoop(boost::asio::io_context &io, const Clock &clock, KeyedStore &store,
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -340,7 +340,7 @@
     return m_daemons.ownerOf(rolloutKey(service)) == m_self;
 }
 
-void StageRouter::report(const SplitReport &report, AnswerCallback onAnswer)
+void StageRouter::report(const SplitReport &report, RolloutPeers::AnswerCallback onAnswer)
 {
     const auto coordinator = m_daemons.ownerOf(rolloutKey(report.rollout.service));
     const auto address = m_daemons.addressOf(coordinator);
@@ -365,6 +365,24 @@
     return m_rollouts == nullptr ? std::nullopt : m_rollouts->takeReport(report);
 }
 
+void StageRouter::exchangeQuarantines(const InstanceId &peer, const QuarantineMessage &message,
+                                      QuarantinePeers::AnswerCallback onAnswer)
+{
+    const auto address = m_daemons.addressOf(peer);
+    if (!address) {
+        onAnswer(std::nullopt);
+        return;
+    }
+    m_service->exchangeQuarantines(*address, message, [onAnswer = std::move(onAnswer)](const auto &answer) {
+        onAnswer(answer.ok() ? std::optional(*answer) : std::nullopt);
+    });
+}
+
+QuarantineMessage StageRouter::takeQuarantines(const QuarantineMessage &message)
+{
+    return m_quarantine == nullptr ? QuarantineMessage() : m_quarantine->takeMessage(message);
+}
+
 std::optional<TableAnswer> StageRouter::readTable(StoreTable table, StoreOffset from)
 {
     return table == StoreTable::Endpoints ? m_endpointTable.answer(from, m_clock.now()) : std::nullopt;
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -4,6 +4,7 @@
 #include "follow/table_relay.h"
 #include "forward/daemon_directory.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/quarantine_director.h"
 #include "gateway/rollout_director.h"
 #include "gateway/stage_runner.h"
 #include "peer/stage_service.h"
@@ -20,7 +21,7 @@
 /// Has pieces made by the daemon that plans the calls of their service, so that
 /// pieces of all daemons gather in the same calls. An order whose daemon fails or
 /// falls silent goes to the next one. Traffic thread only.
-class StageRouter : public StageWork, public RolloutPeers, private StageHandler
+class StageRouter : public StageWork, public RolloutPeers, public QuarantinePeers, private StageHandler
 {
 public:
     /// Opens the port for other daemons. All arguments must outlive the router.
@@ -38,8 +39,19 @@
     {
         m_rollouts = &director;
     }
+    /// Hands other daemons' messages on quarantines to \a director, which must outlive the router.
+    void setQuarantine(QuarantineDirector &director)
+    {
+        m_quarantine = &director;
+    }
+    [[nodiscard]] std::vector<InstanceId> peers() const override
+    {
+        return m_daemons.others();
+    }
+    void exchangeQuarantines(const InstanceId &peer, const QuarantineMessage &message,
+                             QuarantinePeers::AnswerCallback onAnswer) override;
     [[nodiscard]] bool coordinates(const ServiceId &service) const override;
-    void report(const SplitReport &report, AnswerCallback onAnswer) override;
+    void report(const SplitReport &report, RolloutPeers::AnswerCallback onAnswer) override;
     /// As TableQueryClient::queryTable(); on the traffic thread.
     void askTable(StoreTable table, StoreOffset from, const TableQueryClient::AnswerCallback &onAnswer);
 
@@ -55,6 +67,7 @@
     std::vector<ServiceLoad> loads() override;
     std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) override;
     std::optional<SplitDecision> takeSplitReport(const SplitReport &report) override;
+    QuarantineMessage takeQuarantines(const QuarantineMessage &message) override;
     void releaseRemote(const InstanceId &daemon, const Address &address, const ServiceId &service,
                        std::vector<ResultHandle> handles);
 
@@ -73,6 +86,7 @@
     StageRunner &m_runner;
     TableRelay &m_endpointTable;
     RolloutDirector *m_rollouts = nullptr;
+    QuarantineDirector *m_quarantine = nullptr;
     DaemonDirectory m_daemons;
     std::map<ServiceId, BatchLoad> m_loads; ///< As other daemons said.
     std::set<ServiceId> m_planned; ///< Services for which this daemon plans.
--- a/src/peer/stage_codec.cc
+++ b/src/peer/stage_codec.cc
@@ -3,6 +3,8 @@
 
 #include "peer/stage_codec.h"
 
+#include "peer/wire_values.h"
+
 #include <algorithm>
 
 namespace mimosahub
@@ -13,23 +15,6 @@
 
 constexpr int kMaxPieces = 10'000; ///< Maximum pieces of one order; larger numbers are clamped.
 
-std::int64_t toMicroseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-}
-
-Duration fromMicroseconds(std::int64_t us)
-{
-    constexpr std::int64_t kMaxSpanUs = 3'600'000'000; // One hour.
-    return std::chrono::microseconds(std::clamp(us, -kMaxSpanUs, kMaxSpanUs));
-}
-
-template<typename TextId>
-TextId readId(capnp::Text::Reader text)
-{
-    return TextId(std::string_view(text.cStr(), text.size()));
-}
-
 } // namespace
 
 void writeOrder(const ServiceId &service, const PieceOrder &order, TimePoint now, wire::PieceOrder::Builder out)
--- a/src/peer/stage_service.cc
+++ b/src/peer/stage_service.cc
@@ -4,6 +4,7 @@
 
 #include "peer/stage_service.h"
 
+#include "peer/quarantine_codec.h"
 #include "peer/rpc_thread.h"
 #include "peer/stage_codec.h"
 
@@ -109,6 +110,17 @@
             });
     }
 
+    kj::Promise<void> exchangeQuarantines(ExchangeQuarantinesContext context) override
+    {
+        auto message = readQuarantines(context.getParams().getMessage(), m_clock.now());
+        return runOnExecutor<QuarantineMessage>(
+                   m_executor, m_running,
+                   [this, message = std::move(message)]() { return m_handler.takeQuarantines(message); })
+            .then([this, context](const QuarantineMessage &answer) mutable {
+                writeQuarantines(answer, m_clock.now(), context.getResults().initMessage());
+            });
+    }
+
 private:
     RpcExecutor m_executor;
     std::shared_ptr<bool> m_running; ///< Executor's thread only.
@@ -210,6 +222,18 @@
         m_thread.call<std::optional<SplitDecision>>(peer, send, std::move(done));
     }
 
+    void exchangeQuarantines(const Address &peer, QuarantineMessage message,
+                             RpcCallback<QuarantineMessage> done) override
+    {
+        const auto send = [this, message = std::move(message)](wire::StageProtocol::Client &protocol) {
+            auto call = protocol.exchangeQuarantinesRequest();
+            writeQuarantines(message, m_clock.now(), call.initMessage());
+            return call.send().then(
+                [this](auto response) { return readQuarantines(response.getMessage(), m_clock.now()); });
+        };
+        m_thread.call<QuarantineMessage>(peer, send, std::move(done));
+    }
+
     [[nodiscard]] Address address() const override
     {
         return m_thread.address();
--- a/src/peer/stage_service.h
+++ b/src/peer/stage_service.h
@@ -2,6 +2,7 @@
 
 #include "follow/table_relay.h"
 #include "forward/batch_planner.h"
+#include "forward/quarantine_news.h"
 #include "forward/split_judge.h"
 #include "peer/rpc_network.h"
 
@@ -53,6 +54,8 @@
     virtual std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) = 0;
     /// Takes the counts of a peer on a rollout. Absent: this daemon knows no such order.
     virtual std::optional<SplitDecision> takeSplitReport(const SplitReport &report) = 0;
+    /// Takes what a peer knows of quarantines; returns what this daemon knows.
+    virtual QuarantineMessage takeQuarantines(const QuarantineMessage &message) = 0;
 };
 
 /// Server and clients of the stage protocol.
@@ -86,6 +89,9 @@
     /// Reports to \a peer, which coordinates the rollout; absent if it knows no such order.
     virtual void reportSplit(const Address &peer, SplitReport report,
                              RpcCallback<std::optional<SplitDecision>> done) = 0;
+    /// Tells \a peer what this daemon knows of quarantines; the result is what \a peer knows.
+    virtual void exchangeQuarantines(const Address &peer, QuarantineMessage message,
+                                     RpcCallback<QuarantineMessage> done) = 0;
     /// Address on which the service listens, with the port chosen by the system.
     [[nodiscard]] virtual Address address() const = 0;
     /// Closes all connections and ends the thread.
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -126,8 +126,15 @@
                                   : std::optional(SplitDecision{SplitPhase::RolledBack, "half of it failed"});
     }
 
+    QuarantineMessage takeQuarantines(const QuarantineMessage &message) override
+    {
+        messages.push_back(message);
+        return {message.digest + 1, message.news};
+    }
+
     std::unique_ptr<StageService> service;
     std::vector<SplitReport> reports;
+    std::vector<QuarantineMessage> messages;
     std::vector<ServiceId> services;
     std::vector<PieceOrder> orders;
     std::vector<OrderDone> pendingCallbacks;
@@ -171,6 +178,37 @@
     caller.onThread([&] { call.reset(); });
 }
 
+Test(stage_service, news_of_quarantines_reaches_the_peer_and_its_own_returns)
+{
+    Node daemon;
+    Node peer;
+    const auto now = SystemClock().now();
+    const SharedPart part{ServiceId("s"), "5c1e07a2"};
+    QuarantineMessage message;
+    message.digest = 41;
+    message.news.crashes = {{part, {EndpointId("e"), 1'700'000'000'123}, now - 5s, now - 2s}};
+    message.news.answers = {{part, now - 3s}};
+    message.news.quarantines = {{part, 3, true, 2, true, 5, now - 60s, now - 4s}};
+    std::promise<absl::StatusOr<QuarantineMessage>> answered;
+    daemon.onThread([&] {
+        daemon.service->exchangeQuarantines(peer.service->address(), message,
+                                            [&](auto answer) { answered.set_value(std::move(answer)); });
+    });
+    const auto answer = answered.get_future().get();
+    cr_assert(answer.ok(), "%s", answer.status().ToString().c_str());
+    cr_assert_eq(answer->digest, 42);
+    // Times travel as ages, so that they shift by the time on the way.
+    const auto isNear = [](TimePoint a, TimePoint b) { return a - b < 1s && b - a < 1s; };
+    const auto &crash = answer->news.crashes.at(0);
+    cr_assert(crash.part == part && crash.endpoint == message.news.crashes[0].endpoint);
+    cr_assert(isNear(crash.sentAt, now - 5s) && isNear(crash.crashedAt, now - 2s));
+    cr_assert(isNear(answer->news.answers.at(0).answeredAt, now - 3s));
+    const auto &quarantine = answer->news.quarantines.at(0);
+    cr_assert(quarantine.number == 3 && quarantine.ended && quarantine.trials == 2);
+    cr_assert(quarantine.answeredBefore && quarantine.crashes == 5);
+    cr_assert(isNear(quarantine.since, now - 60s) && isNear(quarantine.changedAt, now - 4s));
+}
+
 Test(stage_service, a_rollout_report_reaches_the_coordinator_and_its_decision_returns)
 {
     Node daemon;
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -27,6 +27,10 @@
 CAPNP_DECLARE_SCHEMA(961642094d74cd2c);
 CAPNP_DECLARE_SCHEMA(beeb02f5241edfab);
 CAPNP_DECLARE_SCHEMA(bde789bdf74311bc);
+CAPNP_DECLARE_SCHEMA(b0cfd62a7e5f325c);
+CAPNP_DECLARE_SCHEMA(db6a386159304cee);
+CAPNP_DECLARE_SCHEMA(857c8bc0dc55cb22);
+CAPNP_DECLARE_SCHEMA(f41c99246c8bce3b);
 CAPNP_DECLARE_SCHEMA(dc31c4e0e7d4eb1f);
 CAPNP_DECLARE_SCHEMA(c246aa2f5fdcd6c0);
 CAPNP_DECLARE_SCHEMA(d9ee930ded74d2a9);
@@ -38,6 +42,8 @@
 CAPNP_DECLARE_SCHEMA(aedfd41b2d97d486);
 CAPNP_DECLARE_SCHEMA(9f40b9ae44949efd);
 CAPNP_DECLARE_SCHEMA(94e7442f8c8e6ad5);
+CAPNP_DECLARE_SCHEMA(ae31308ceb8190b4);
+CAPNP_DECLARE_SCHEMA(bced718d59088275);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -165,6 +171,66 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b0cfd62a7e5f325c, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AnswerReport {
+  AnswerReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db6a386159304cee, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Quarantine {
+  Quarantine() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(857c8bc0dc55cb22, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuarantineMessage {
+  QuarantineMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f41c99246c8bce3b, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StageProtocol {
   StageProtocol() = delete;
 
@@ -183,6 +249,8 @@
   struct ReadTableResults;
   struct ReportSplitParams;
   struct ReportSplitResults;
+  struct ExchangeQuarantinesParams;
+  struct ExchangeQuarantinesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -342,6 +410,36 @@
   };
 };
 
+struct StageProtocol::ExchangeQuarantinesParams {
+  ExchangeQuarantinesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ae31308ceb8190b4, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StageProtocol::ExchangeQuarantinesResults {
+  ExchangeQuarantinesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bced718d59088275, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ZoneBytes::Reader {
@@ -1211,86 +1309,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class StageProtocol::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef StageProtocol Calls;
-  typedef StageProtocol Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReleaseParams,  ::mimosahub::wire::StageProtocol::ReleaseResults> releaseRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults> readTableRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults> reportSplitRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class StageProtocol::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef StageProtocol Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::mimosahub::wire::StageProtocol::RunParams RunParams;
-  typedef  ::mimosahub::wire::StageProtocol::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReleaseParams ReleaseParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReleaseResults ReleaseResults;
-  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
-  virtual ::kj::Promise<void> release(ReleaseContext context);
-  typedef  ::mimosahub::wire::StageProtocol::PingParams PingParams;
-  typedef  ::mimosahub::wire::StageProtocol::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReadTableParams ReadTableParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReadTableResults ReadTableResults;
-  typedef ::capnp::CallContext<ReadTableParams, ReadTableResults> ReadTableContext;
-  virtual ::kj::Promise<void> readTable(ReadTableContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReportSplitParams ReportSplitParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReportSplitResults ReportSplitResults;
-  typedef ::capnp::CallContext<ReportSplitParams, ReportSplitResults> ReportSplitContext;
-  virtual ::kj::Promise<void> reportSplit(ReportSplitContext context);
-
-  inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::mimosahub::wire::StageProtocol>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class StageProtocol::RunParams::Reader {
+class CrashReport::Reader {
 public:
-  typedef RunParams Reads;
+  typedef CrashReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1305,8 +1326,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder() const;
-  inline  ::mimosahub::wire::PieceOrder::Reader getOrder() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::int64_t getStartedAtMs() const;
+
+  inline  ::int64_t getSentAgeUs() const;
+
+  inline  ::int64_t getCrashAgeUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1320,9 +1353,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::RunParams::Builder {
+class CrashReport::Builder {
 public:
-  typedef RunParams Builds;
+  typedef CrashReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1336,12 +1369,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder();
-  inline  ::mimosahub::wire::PieceOrder::Builder getOrder();
-  inline void setOrder( ::mimosahub::wire::PieceOrder::Reader value);
-  inline  ::mimosahub::wire::PieceOrder::Builder initOrder();
-  inline void adoptOrder(::capnp::Orphan< ::mimosahub::wire::PieceOrder>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrder> disownOrder();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::int64_t getStartedAtMs();
+  inline void setStartedAtMs( ::int64_t value);
+
+  inline  ::int64_t getSentAgeUs();
+  inline void setSentAgeUs( ::int64_t value);
+
+  inline  ::int64_t getCrashAgeUs();
+  inline void setCrashAgeUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1353,15 +1409,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::RunParams::Pipeline {
+class CrashReport::Pipeline {
 public:
-  typedef RunParams Pipelines;
+  typedef CrashReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::PieceOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1370,9 +1425,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::RunResults::Reader {
+class AnswerReport::Reader {
 public:
-  typedef RunResults Reads;
+  typedef AnswerReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1387,11 +1442,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::mimosahub::wire::PieceOrderResult::Reader getResult() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasLoad() const;
-  inline  ::mimosahub::wire::BatchLoad::Reader getLoad() const;
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
+  inline  ::int64_t getAgeUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1405,9 +1462,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::RunResults::Builder {
+class AnswerReport::Builder {
 public:
-  typedef RunResults Builds;
+  typedef AnswerReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1421,19 +1478,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::mimosahub::wire::PieceOrderResult::Builder getResult();
-  inline void setResult( ::mimosahub::wire::PieceOrderResult::Reader value);
-  inline  ::mimosahub::wire::PieceOrderResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::mimosahub::wire::PieceOrderResult>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrderResult> disownResult();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasLoad();
-  inline  ::mimosahub::wire::BatchLoad::Builder getLoad();
-  inline void setLoad( ::mimosahub::wire::BatchLoad::Reader value);
-  inline  ::mimosahub::wire::BatchLoad::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::mimosahub::wire::BatchLoad>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::BatchLoad> disownLoad();
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1445,16 +1505,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::RunResults::Pipeline {
+class AnswerReport::Pipeline {
 public:
-  typedef RunResults Pipelines;
+  typedef AnswerReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::PieceOrderResult::Pipeline getResult();
-  inline  ::mimosahub::wire::BatchLoad::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1463,9 +1521,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReleaseParams::Reader {
+class Quarantine::Reader {
 public:
-  typedef ReleaseParams Reads;
+  typedef Quarantine Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1483,8 +1541,22 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasHandles() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
+  inline  ::uint32_t getNumber() const;
+
+  inline bool getEnded() const;
+
+  inline  ::uint32_t getTrials() const;
+
+  inline bool getAnsweredBefore() const;
+
+  inline  ::uint32_t getCrashes() const;
+
+  inline  ::int64_t getSinceAgeUs() const;
+
+  inline  ::int64_t getChangedAgeUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1498,9 +1570,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReleaseParams::Builder {
+class Quarantine::Builder {
 public:
-  typedef ReleaseParams Builds;
+  typedef Quarantine Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1521,13 +1593,33 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasHandles();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
-  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
-  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
+  inline  ::uint32_t getTrials();
+  inline void setTrials( ::uint32_t value);
+
+  inline bool getAnsweredBefore();
+  inline void setAnsweredBefore(bool value);
+
+  inline  ::uint32_t getCrashes();
+  inline void setCrashes( ::uint32_t value);
+
+  inline  ::int64_t getSinceAgeUs();
+  inline void setSinceAgeUs( ::int64_t value);
+
+  inline  ::int64_t getChangedAgeUs();
+  inline void setChangedAgeUs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1539,9 +1631,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReleaseParams::Pipeline {
+class Quarantine::Pipeline {
 public:
-  typedef ReleaseParams Pipelines;
+  typedef Quarantine Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1555,9 +1647,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReleaseResults::Reader {
+class QuarantineMessage::Reader {
 public:
-  typedef ReleaseResults Reads;
+  typedef QuarantineMessage Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1572,6 +1664,17 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getDigest() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasAnswers() const;
+  inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+
+  inline bool hasQuarantines() const;
+  inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Reader getQuarantines() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1584,9 +1687,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReleaseResults::Builder {
+class QuarantineMessage::Builder {
 public:
-  typedef ReleaseResults Builds;
+  typedef QuarantineMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1600,6 +1703,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasAnswers();
+  inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Builder getAnswers();
+  inline void setAnswers( ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
+  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>> disownAnswers();
+
+  inline bool hasQuarantines();
+  inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Builder getQuarantines();
+  inline void setQuarantines( ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Builder initQuarantines(unsigned int size);
+  inline void adoptQuarantines(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>> disownQuarantines();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1610,9 +1737,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReleaseResults::Pipeline {
+class QuarantineMessage::Pipeline {
 public:
-  typedef ReleaseResults Pipelines;
+  typedef QuarantineMessage Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1626,9 +1753,92 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::PingParams::Reader {
+#if !CAPNP_LITE
+class StageProtocol::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef PingParams Reads;
+  typedef StageProtocol Calls;
+  typedef StageProtocol Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReleaseParams,  ::mimosahub::wire::StageProtocol::ReleaseResults> releaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults> readTableRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults> reportSplitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams,  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults> exchangeQuarantinesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class StageProtocol::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef StageProtocol Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::mimosahub::wire::StageProtocol::RunParams RunParams;
+  typedef  ::mimosahub::wire::StageProtocol::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReleaseParams ReleaseParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReleaseResults ReleaseResults;
+  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
+  virtual ::kj::Promise<void> release(ReleaseContext context);
+  typedef  ::mimosahub::wire::StageProtocol::PingParams PingParams;
+  typedef  ::mimosahub::wire::StageProtocol::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableParams ReadTableParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableResults ReadTableResults;
+  typedef ::capnp::CallContext<ReadTableParams, ReadTableResults> ReadTableContext;
+  virtual ::kj::Promise<void> readTable(ReadTableContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReportSplitParams ReportSplitParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReportSplitResults ReportSplitResults;
+  typedef ::capnp::CallContext<ReportSplitParams, ReportSplitResults> ReportSplitContext;
+  virtual ::kj::Promise<void> reportSplit(ReportSplitContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams ExchangeQuarantinesParams;
+  typedef  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults ExchangeQuarantinesResults;
+  typedef ::capnp::CallContext<ExchangeQuarantinesParams, ExchangeQuarantinesResults> ExchangeQuarantinesContext;
+  virtual ::kj::Promise<void> exchangeQuarantines(ExchangeQuarantinesContext context);
+
+  inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::mimosahub::wire::StageProtocol>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::RunParams::Reader {
+public:
+  typedef RunParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1643,6 +1853,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrder() const;
+  inline  ::mimosahub::wire::PieceOrder::Reader getOrder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1655,9 +1868,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::PingParams::Builder {
+class StageProtocol::RunParams::Builder {
 public:
-  typedef PingParams Builds;
+  typedef RunParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1671,6 +1884,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrder();
+  inline  ::mimosahub::wire::PieceOrder::Builder getOrder();
+  inline void setOrder( ::mimosahub::wire::PieceOrder::Reader value);
+  inline  ::mimosahub::wire::PieceOrder::Builder initOrder();
+  inline void adoptOrder(::capnp::Orphan< ::mimosahub::wire::PieceOrder>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrder> disownOrder();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1681,14 +1901,15 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::PingParams::Pipeline {
+class StageProtocol::RunParams::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef RunParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mimosahub::wire::PieceOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1697,9 +1918,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::PingResults::Reader {
+class StageProtocol::RunResults::Reader {
 public:
-  typedef PingResults Reads;
+  typedef RunResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1714,8 +1935,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+  inline bool hasResult() const;
+  inline  ::mimosahub::wire::PieceOrderResult::Reader getResult() const;
+
+  inline bool hasLoad() const;
+  inline  ::mimosahub::wire::BatchLoad::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1729,9 +1953,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::PingResults::Builder {
+class StageProtocol::RunResults::Builder {
 public:
-  typedef PingResults Builds;
+  typedef RunResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1745,12 +1969,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads();
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+  inline bool hasResult();
+  inline  ::mimosahub::wire::PieceOrderResult::Builder getResult();
+  inline void setResult( ::mimosahub::wire::PieceOrderResult::Reader value);
+  inline  ::mimosahub::wire::PieceOrderResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::mimosahub::wire::PieceOrderResult>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrderResult> disownResult();
+
+  inline bool hasLoad();
+  inline  ::mimosahub::wire::BatchLoad::Builder getLoad();
+  inline void setLoad( ::mimosahub::wire::BatchLoad::Reader value);
+  inline  ::mimosahub::wire::BatchLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::mimosahub::wire::BatchLoad>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::BatchLoad> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1762,14 +1993,16 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::PingResults::Pipeline {
+class StageProtocol::RunResults::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef RunResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mimosahub::wire::PieceOrderResult::Pipeline getResult();
+  inline  ::mimosahub::wire::BatchLoad::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1778,9 +2011,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReadTableParams::Reader {
+class StageProtocol::ReleaseParams::Reader {
 public:
-  typedef ReadTableParams Reads;
+  typedef ReleaseParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1795,9 +2028,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getTable() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getFrom() const;
+  inline bool hasHandles() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1811,9 +2046,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReadTableParams::Builder {
+class StageProtocol::ReleaseParams::Builder {
 public:
-  typedef ReadTableParams Builds;
+  typedef ReleaseParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1827,11 +2062,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getTable();
-  inline void setTable( ::uint8_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getFrom();
-  inline void setFrom( ::uint64_t value);
+  inline bool hasHandles();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
+  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
+  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1843,9 +2087,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReadTableParams::Pipeline {
+class StageProtocol::ReleaseParams::Pipeline {
 public:
-  typedef ReadTableParams Pipelines;
+  typedef ReleaseParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1859,9 +2103,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReadTableResults::Reader {
+class StageProtocol::ReleaseResults::Reader {
 public:
-  typedef ReadTableResults Reads;
+  typedef ReleaseResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1876,17 +2120,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
-
-  inline  ::int64_t getAgeUs() const;
-
-  inline  ::uint64_t getNext() const;
-
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
-
-  inline  ::uint64_t getDocuments() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1899,9 +2132,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReadTableResults::Builder {
+class StageProtocol::ReleaseResults::Builder {
 public:
-  typedef ReadTableResults Builds;
+  typedef ReleaseResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1915,25 +2148,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
-
-  inline  ::int64_t getAgeUs();
-  inline void setAgeUs( ::int64_t value);
-
-  inline  ::uint64_t getNext();
-  inline void setNext( ::uint64_t value);
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-  inline  ::uint64_t getDocuments();
-  inline void setDocuments( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1944,9 +2158,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReadTableResults::Pipeline {
+class StageProtocol::ReleaseResults::Pipeline {
 public:
-  typedef ReadTableResults Pipelines;
+  typedef ReleaseResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1960,9 +2174,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReportSplitParams::Reader {
+class StageProtocol::PingParams::Reader {
 public:
-  typedef ReportSplitParams Reads;
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1977,9 +2191,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::mimosahub::wire::SplitReport::Reader getReport() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1992,9 +2203,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReportSplitParams::Builder {
+class StageProtocol::PingParams::Builder {
 public:
-  typedef ReportSplitParams Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2008,13 +2219,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::mimosahub::wire::SplitReport::Builder getReport();
-  inline void setReport( ::mimosahub::wire::SplitReport::Reader value);
-  inline  ::mimosahub::wire::SplitReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::mimosahub::wire::SplitReport>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::SplitReport> disownReport();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2025,15 +2229,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReportSplitParams::Pipeline {
+class StageProtocol::PingParams::Pipeline {
 public:
-  typedef ReportSplitParams Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::SplitReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2042,9 +2245,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReportSplitResults::Reader {
+class StageProtocol::PingResults::Reader {
 public:
-  typedef ReportSplitResults Reads;
+  typedef PingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2059,12 +2262,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
-
-  inline  ::uint8_t getPhase() const;
-
-  inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2078,9 +2277,179 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReportSplitResults::Builder {
+class StageProtocol::PingResults::Builder {
 public:
-  typedef ReportSplitResults Builds;
+  typedef PingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::PingResults::Pipeline {
+public:
+  typedef PingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::ReadTableParams::Reader {
+public:
+  typedef ReadTableParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getTable() const;
+
+  inline  ::uint64_t getFrom() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ReadTableParams::Builder {
+public:
+  typedef ReadTableParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getTable();
+  inline void setTable( ::uint8_t value);
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::ReadTableParams::Pipeline {
+public:
+  typedef ReadTableParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::ReadTableResults::Reader {
+public:
+  typedef ReadTableResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKnown() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline  ::uint64_t getNext() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline  ::uint64_t getDocuments() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ReadTableResults::Builder {
+public:
+  typedef ReadTableResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
