--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -5,13 +5,6 @@
 //
 // A streamed answer is passed on in whole events. Its header goes out with the
 // first event: until then another endpoint may still answer.
-//
-// Silence alone ends nothing: an endpoint that sends nothing for longer than usual is
-// given up only once another one, a connection to it and a token of the retry budget
-// stand ready. Within a stream that has begun a second token is held for a return to it,
-// should the other endpoint fail, but for an endpoint that is silent twice in a row,
-// which is probably dead. Until then the request stays with it. The connection is closed
-// before the request is sent again, so that two endpoints never work on it at once.
 
 #include "gateway/forwarded_request.h"
 
@@ -33,11 +26,9 @@
 constexpr double kRetrySpread = 0.5; ///< Part of the time to come back by which callers are spread.
 constexpr int kRanksOfRoutes = 16; ///< A workspace's priority goes before the route's.
 constexpr Duration kElsewhere = std::chrono::milliseconds(20); ///< Until a request may come back to another daemon.
-constexpr Duration kMinSendTime = std::chrono::milliseconds(5); ///< Less is not worth a send.
 constexpr Duration kLeastPatience = std::chrono::milliseconds(250); ///< With an endpoint's first byte.
 constexpr Duration kLeastStreamPatience = std::chrono::milliseconds(1500);
 constexpr int kPatienceFactor = 5; ///< Of the usual time to the first byte.
-constexpr int kSilencesOfDead = 2; ///< In a row, after which an endpoint is left without a fallback.
 constexpr Duration kStall = std::chrono::milliseconds(1500); ///< Longest pause within a stream that may be resumed.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t(8) << 20U;
 constexpr std::uint64_t kMaxRefusalBytes = std::uint64_t(64) << 10U;
@@ -130,7 +121,7 @@
         return std::nullopt;
     }
     Refusal refusal;
-    refusal.outcome = m_policy.outcome();
+    refusal.outcome = outcome();
     refusal.reason = Reason::EndpointLost;
     refusal.detail = "endpoints crashed under part " + verdict.parts.front().part + " of the prompt";
     refusal.step = std::string(stepName(Step::Admit));
@@ -194,7 +185,6 @@
     if (m_route->maxStartWait > Duration::zero()) {
         m_uselessAt = std::min(m_giveUpAt, TimePoint(m_arrival + m_route->maxStartWait));
     }
-    m_policy = SendPolicy({m_route->repeatable(), m_route->maxAttempts});
     m_sharedParts = sharedPartsOf(m_call.prompt);
     double total = 0.0;
     for (const auto &share : m_route->services) {
@@ -208,6 +198,8 @@
             break;
         }
     }
+    m_sends = std::make_unique<RequestSends>(
+        m_context, m_service, SendLimits{m_route->repeatable(), m_route->maxAttempts}, [this] { return situation(); });
     return std::nullopt;
 }
 
@@ -218,7 +210,7 @@
 
 http::Awaitable<std::optional<Refusal>> ForwardedRequest::prepare()
 {
-    const auto engine = m_context.selector.preferred(query(), m_context.clock.now());
+    const auto engine = m_context.selector.preferred(m_sends->query(), m_context.clock.now());
     const auto uselessAt = m_streamBegun ? m_giveUpAt : m_uselessAt;
     const StagedRequest staged{*m_route, m_call, *m_view, m_arrival, uselessAt, m_rank};
     m_stages.reset();
@@ -229,10 +221,10 @@
             m_stages->drop();
             co_return refusal;
         }
-        if (left() < kMinSendTime) {
+        if (left() < RequestSends::kMinSendTime) {
             const auto reason = m_context.stop.refusing ? Reason::Draining : Reason::DeadlinePassed;
             auto refusal = makeRefusal(reason, "the stages took too long", Step::Choose, kElsewhere);
-            refusal.outcome = m_policy.outcome();
+            refusal.outcome = outcome();
             co_return refusal;
         }
         co_await m_stages->waitForNews(left());
@@ -241,13 +233,13 @@
     if (m_stages->failed()) {
         m_stages->drop();
         auto refusal = makeRefusal(Reason::Overloaded, m_stages->describeFailure(), Step::Choose, comeBackAfter());
-        refusal.outcome = m_policy.outcome();
+        refusal.outcome = outcome();
         co_return refusal;
     }
     if (!inputsFit()) {
         m_stages->drop();
         auto refusal = makeRefusal(Reason::TooLarge, "the stages have more results than a call can name", Step::Choose);
-        refusal.outcome = m_policy.outcome();
+        refusal.outcome = outcome();
         co_return refusal;
     }
     co_return std::nullopt;
@@ -270,19 +262,32 @@
     return m_context.random.jitter(wait, kRetrySpread);
 }
 
-EndpointQuery ForwardedRequest::query() const
+Outcome ForwardedRequest::outcome() const
 {
-    EndpointQuery query;
-    query.service = m_service;
-    query.zone = m_context.zone;
-    query.affinity = m_affinity;
+    return m_sends ? m_sends->policy().outcome() : Outcome::NotRun;
+}
+
+RetryObstacle ForwardedRequest::obstacle() const
+{
+    return m_sends ? m_sends->obstacle() : RetryObstacle::None;
+}
+
+SendSituation ForwardedRequest::situation() const
+{
+    SendSituation now;
+    now.query.service = m_service;
+    now.query.zone = m_context.zone;
+    now.query.affinity = m_affinity;
     if (m_stages) {
-        query.inputBytes = m_stages->finalInputBytes();
+        now.query.inputBytes = m_stages->finalInputBytes();
     }
-    query.tokens = static_cast<double>(m_call.promptTokens);
-    query.retryable = m_policy.allowsAnotherSend();
-    query.exclude = m_tried;
-    return query;
+    now.query.tokens = static_cast<double>(m_call.promptTokens);
+    now.left = left();
+    now.streamBegun = m_streamBegun;
+    now.resumable = !m_events.lastId().empty();
+    now.inputsReadable = !m_stages || m_stages->readable();
+    now.suspected = m_isTrial || !m_context.quarantine.table().mayRetry(m_service, m_sharedParts);
+    return now;
 }
 
 ForwardOptions ForwardedRequest::options(const EndpointId &endpoint) const
@@ -298,41 +303,6 @@
     return options;
 }
 
-RetryBudget &ForwardedRequest::retryBudget()
-{
-    return m_context.secondSends.try_emplace(m_service, m_context.secondSendOptions).first->second;
-}
-
-RetryObstacle ForwardedRequest::obstacleToRetry()
-{
-    if (left() < kMinSendTime) {
-        return RetryObstacle::NoTime;
-    }
-    if (m_streamBegun && m_events.lastId().empty()) {
-        return RetryObstacle::NotRepeatable; // It would begin again.
-    }
-    if (m_isTrial || !m_context.quarantine.table().mayRetry(m_service, m_sharedParts)) {
-        return RetryObstacle::Suspected;
-    }
-    return retryBudget().available(m_context.clock.now()) ? RetryObstacle::None : RetryObstacle::NoBudget;
-}
-
-std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> ForwardedRequest::chooseSend(EndpointQuery query)
-{
-    const auto now = m_context.clock.now();
-    query.version = m_context.rollouts.drawVersion(m_service);
-    auto choice = m_context.selector.choose(query, now, m_context.random);
-    if (std::holds_alternative<NoEndpointChosen>(choice) && query.version
-        && m_context.rollouts.mayUseOther(m_service, *query.version)) {
-        query.version->wanted = !query.version->wanted;
-        choice = m_context.selector.choose(query, now, m_context.random);
-    }
-    if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
-        return *none;
-    }
-    return std::make_unique<EndpointSend>(m_context, std::get<ListedEndpoint>(choice), std::move(query), now);
-}
-
 std::optional<AnswerTimes> ForwardedRequest::answerTimes() const
 {
     if (!m_firstByte) {
@@ -346,40 +316,18 @@
     return times;
 }
 
-// A repeat draws on the shared budget only if it is made.
-std::variant<std::unique_ptr<EndpointSend>, NoEndpointChosen> ForwardedRequest::nextSend(bool repeat)
-{
-    if (m_successor) {
-        return std::move(m_successor);
-    }
-    auto choice = chooseSend(query());
-    if (std::holds_alternative<NoEndpointChosen>(choice)) {
-        m_obstacle = RetryObstacle::NoEndpoint;
-    } else if (repeat && !retryBudget().tryTake(m_context.clock.now())) {
-        m_obstacle = RetryObstacle::NoBudget;
-        choice = NoEndpointChosen{Reason::Overloaded, kRetryAfter};
-    } else {
-        return choice;
-    }
-    if (auto last = fallbackSend()) {
-        return last;
-    }
-    return choice;
-}
-
 http::Awaitable<void> ForwardedRequest::forward()
 {
-    retryBudget().deposit();
     for (bool repeat = false; true; repeat = true) {
         if (auto refusal = quarantineRefusal()) {
             co_await refuse(std::move(*refusal));
             co_return;
         }
-        auto choice = nextSend(repeat);
+        auto choice = m_sends->next(repeat);
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
             auto refusal =
                 makeRefusal(none->reason, "no endpoint may take the request", Step::Choose, none->retryAfter);
-            refusal.outcome = m_policy.outcome();
+            refusal.outcome = outcome();
             co_await refuse(std::move(refusal));
             co_return;
         }
@@ -395,7 +343,8 @@
         if (report.result == SendResult::Answered && isSuccess(report.head.status)) {
             m_context.quarantine.recordAnswer(m_service, m_sharedParts);
         }
-        const auto next = stepAfter(report);
+        m_loss = report.loss;
+        const auto next = m_sends->after(report.result, report.loss);
         m_sending = false;
         switch (next) {
         case NextStep::PassOn:
@@ -429,137 +378,13 @@
     }
 }
 
-NextStep ForwardedRequest::stepAfter(const SendReport &report)
-{
-    m_loss = report.loss;
-    if (report.loss == SendLoss::CallerGone) {
-        m_obstacle = RetryObstacle::None;
-        return m_policy.after(report.result, /*mayRetry=*/false);
-    }
-    if (m_successor) {
-        return m_policy.after(report.result, /*mayRetry=*/true);
-    }
-    const bool failed = report.result != SendResult::Answered;
-    m_obstacle = failed ? obstacleToRetry() : RetryObstacle::None;
-    const auto next = m_policy.after(report.result, m_obstacle == RetryObstacle::None);
-    if (next == NextStep::SendAgain || next == NextStep::PrepareAgain) {
-        return next;
-    }
-    if (next == NextStep::GiveUp || (failed && m_streamBegun)) {
-        m_successor = fallbackSend();
-    }
-    if (m_successor) {
-        return NextStep::SendAgain;
-    }
-    if (failed && m_obstacle == RetryObstacle::None) {
-        m_obstacle = m_route->repeatable() ? RetryObstacle::AttemptsUsed : RetryObstacle::NotRepeatable;
-    }
-    return next;
-}
-
-std::unique_ptr<EndpointSend> ForwardedRequest::fallbackSend()
-{
-    const auto obstacle = obstacleToRetry();
-    const bool paid = m_fallbackRetry && obstacle == RetryObstacle::NoBudget;
-    if (!m_silent || (obstacle != RetryObstacle::None && !paid)) {
-        return nullptr;
-    }
-    auto asked = query();
-    asked.exclude.clear();
-    asked.only = std::exchange(m_silent, std::nullopt);
-    auto choice = chooseSend(asked);
-    if (std::holds_alternative<NoEndpointChosen>(choice)) {
-        return nullptr;
-    }
-    if (m_fallbackRetry) {
-        m_fallbackRetry->spend();
-        m_fallbackRetry.reset();
-    } else {
-        static_cast<void>(retryBudget().tryTake(m_context.clock.now()));
-    }
-    return std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
-}
-
-http::Awaitable<RetryObstacle> ForwardedRequest::findSuccessor()
-{
-    if (!m_stages->readable()) {
-        co_return RetryObstacle::InputsGone;
-    }
-    if (const auto obstacle = obstacleToRetry(); obstacle != RetryObstacle::None) {
-        co_return obstacle;
-    }
-    auto policy = m_policy;
-    static_cast<void>(policy.after(SendResult::Lost, /*mayRetry=*/true));
-    auto asked = query();
-    asked.retryable = policy.allowsAnotherSend();
-    asked.allowPaused = false;
-    auto choice = chooseSend(asked);
-    if (std::holds_alternative<NoEndpointChosen>(choice)) {
-        co_return RetryObstacle::NoEndpoint;
-    }
-    auto successor = std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
-    if (!(co_await successor->connect(/*proven=*/false)).ok()) {
-        m_tried.push_back(successor->endpoint().info.id);
-        co_return RetryObstacle::Unreachable;
-    }
-    m_successor = std::move(successor);
-    co_return RetryObstacle::None;
-}
-
-RetryObstacle ForwardedRequest::takeTokensToLeave(EndpointSend &send, int silences)
-{
-    if (!send.connection().idleAndOpen()) {
-        return RetryObstacle::NotNeeded;
-    }
-    // A caller to whom nothing was passed on can still be refused.
-    const bool needsFallback = m_streamBegun && silences < kSilencesOfDead;
-    if (needsFallback && !m_context.selector.isUsable(send.endpoint().info.id)) {
-        return RetryObstacle::NoFallback;
-    }
-    const auto now = m_context.clock.now();
-    auto leaving = ReservedRetry::tryTake(retryBudget(), now);
-    auto fallback = ReservedRetry::tryTake(retryBudget(), now);
-    if (!leaving || (needsFallback && !fallback)) {
-        return RetryObstacle::NoBudget;
-    }
-    leaving->spend();
-    m_fallbackRetry = std::move(fallback);
-    return RetryObstacle::None;
-}
-
-http::Awaitable<bool> ForwardedRequest::replaceSilent(EndpointSend &send, int silences)
-{
-    if (left() < kMinSendTime) {
-        m_obstacle = RetryObstacle::NoTime;
-        m_context.metrics.recordSilence(m_obstacle);
-        send.connection().close();
-        co_return true;
-    }
-    m_obstacle = co_await findSuccessor();
-    if (m_successor) {
-        m_obstacle = takeTokensToLeave(send, silences);
-    }
-    m_context.metrics.recordSilence(m_obstacle);
-    if (m_obstacle != RetryObstacle::None) {
-        if (m_successor) {
-            m_successor->releaseConnection();
-            m_successor.reset();
-        }
-        send.recordSilence();
-        co_return false;
-    }
-    m_silent = send.endpoint().info.id;
-    send.connection().close();
-    co_return true;
-}
-
 Refusal ForwardedRequest::refusalAfter(const SendReport &report) const
 {
     if (auto quarantined = quarantineRefusal()) {
         return *std::move(quarantined);
     }
     Refusal refusal;
-    refusal.outcome = m_policy.outcome();
+    refusal.outcome = outcome();
     refusal.detail = report.why;
     refusal.peer = m_endpoint.str();
     refusal.step = std::string(stepName(Step::Receive));
@@ -567,24 +392,24 @@
         refusal.reason = m_context.stop.refusing ? Reason::Draining : Reason::Overloaded;
         refusal.retryAfter = kRetryAfter;
     } else {
-        refusal.reason = left() < kMinSendTime ? Reason::DeadlinePassed : Reason::EndpointLost;
+        refusal.reason = left() < RequestSends::kMinSendTime ? Reason::DeadlinePassed : Reason::EndpointLost;
     }
     return refusal;
 }
 
 Refusal ForwardedRequest::refusalAfterException(std::string problem) const
 {
-    const auto outcome = m_sending ? Outcome::Unknown : m_policy.outcome();
-    const auto reason = outcome == Outcome::NotRun ? Reason::Overloaded : Reason::EndpointLost;
+    const auto known = m_sending ? Outcome::Unknown : outcome();
+    const auto reason = known == Outcome::NotRun ? Reason::Overloaded : Reason::EndpointLost;
     auto refusal = makeRefusal(reason, std::move(problem), Step::Send, kRetryAfter);
-    refusal.outcome = outcome;
+    refusal.outcome = known;
     return refusal;
 }
 
 Duration ForwardedRequest::firstPatience() const
 {
     const auto usual = m_context.usual.of(m_route->id);
-    if (!m_policy.allowsAnotherSend() || !usual) {
+    if (!m_sends->policy().allowsAnotherSend() || !usual) {
         return left();
     }
     const auto least = m_route->streaming ? kLeastStreamPatience : kLeastPatience;
@@ -595,7 +420,7 @@
 {
     const auto &endpoint = send->endpoint();
     m_endpoint = endpoint.info.id;
-    m_tried.push_back(m_endpoint);
+    m_sends->recordTried(m_endpoint);
     SendReport report;
     // A request that may run once only needs a connection that surely works.
     const auto connected = co_await send->connect(!m_route->repeatable());
@@ -604,7 +429,7 @@
         report.why = std::string(connected.message());
         co_return report;
     }
-    if (left() < kMinSendTime) {
+    if (left() < RequestSends::kMinSendTime) {
         report.result = SendResult::Unreachable;
         report.why = "no time was left after connecting";
         co_return report;
@@ -751,7 +576,7 @@
 
 void ForwardedRequest::noteFirstByte()
 {
-    m_fallbackRetry.reset();
+    m_sends->recordAnswerBegun();
     if (!m_firstByte) {
         m_firstByte = m_context.clock.now() - m_sentAt;
     }
@@ -759,12 +584,12 @@
 
 http::Awaitable<bool> ForwardedRequest::awaitFirstByte(EndpointSend &send)
 {
-    for (int silences = 1; m_policy.allowsAnotherSend(); ++silences) {
+    for (int silences = 1; m_sends->policy().allowsAnotherSend(); ++silences) {
         const bool readable = co_await send.connection().waitReadable(firstPatience());
         if (readable) {
             co_return true;
         }
-        if (co_await replaceSilent(send, silences)) {
+        if (co_await m_sends->replaceSilent(send, silences)) {
             co_return false;
         }
     }
@@ -773,7 +598,7 @@
 
 http::Awaitable<absl::StatusOr<std::string>> ForwardedRequest::readStream(EndpointSend &send)
 {
-    for (int silences = 1; m_policy.allowsAnotherSend(); ++silences) {
+    for (int silences = 1; m_sends->policy().allowsAnotherSend(); ++silences) {
         const auto patience = m_firstByte ? std::min(left(), kStall) : firstPatience();
         auto data = co_await send.connection().readSomeWithin(patience);
         if (!data.ok()) {
@@ -782,7 +607,7 @@
         if (*data) {
             co_return std::move(**data);
         }
-        if (co_await replaceSilent(send, silences)) {
+        if (co_await m_sends->replaceSilent(send, silences)) {
             co_return absl::DeadlineExceededError("the endpoint was silent");
         }
     }
@@ -877,7 +702,7 @@
 void ForwardedRequest::noteStreamCut()
 {
     m_streamCut = true;
-    m_context.metrics.recordStreamCut(m_loss, m_obstacle);
+    m_context.metrics.recordStreamCut(m_loss, obstacle());
 }
 
 void ForwardedRequest::logEnd(std::string_view outcome, std::string_view detail)
@@ -899,10 +724,10 @@
         .with("total", Duration(total))
         .with("stages", m_stageTime)
         .with("first", m_firstByte.value_or(Duration::zero()))
-        .with("sends", m_policy.sends())
+        .with("sends", m_sends ? m_sends->policy().sends() : 0)
         .with("cut", m_streamCut)
         .with("loss", sendLossName(m_loss))
-        .with("obstacle", retryObstacleName(m_obstacle))
+        .with("obstacle", retryObstacleName(obstacle()))
         .with("endpoint", m_endpoint);
 }
 
