--- a/src/forward/event_splitter_test.cc
+++ b/src/forward/event_splitter_test.cc
@@ -76,3 +76,17 @@
     cr_assert(splitter.take(stream) == stream);
     cr_assert_not(splitter.tooLong());
 }
+
+// A stream that ends inside an event has been broken off.
+Test(event_splitter, a_stream_cut_at_any_byte_is_whole_only_between_events)
+{
+    const std::string first = "id: 1\ndata: a\n\n";
+    const std::string stream = first + "id: 2\ndata: b\n\n";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        EventSplitter splitter;
+        const auto whole = splitter.take(stream.substr(0, cut));
+        const bool between = cut == 0 || cut == first.size() || cut == stream.size();
+        cr_expect(splitter.rest().empty() == between, "cut after %zu bytes", cut);
+        cr_expect_eq(whole, cut < first.size() ? "" : cut < stream.size() ? first : stream);
+    }
+}
--- a/src/http/client_test.cc
+++ b/src/http/client_test.cc
@@ -20,6 +20,7 @@
 
 constexpr Duration kCallTimeout = 1s;
 constexpr Duration kLongestCall = kCallTimeout + 1s; ///< With room for a busy machine.
+constexpr auto kReadTime = 100ms; ///< In which a client reads what was sent.
 constexpr auto kTestEnd = 5s; ///< A call that goes on until then is without a bound.
 constexpr std::uint64_t kMaxBody = std::uint64_t(1) << 20U; ///< Bytes.
 constexpr std::size_t kMaxTaken = std::size_t(16) << 20U; ///< Bytes; most of them wait in the sockets' buffers.
@@ -27,8 +28,13 @@
 /// What a server sends after a request, whatever the request is.
 struct Script {
     std::string begin; ///< Once.
-    std::string repeated; ///< Then this without end; empty: nothing more.
+    std::string repeated = {}; ///< Then this without end; empty: nothing more.
     std::chrono::milliseconds pause{0}; ///< Before each repetition.
+    enum class End {
+        Open,
+        Closed,
+        Reset
+    } end = End::Open; ///< The connection after all that.
 };
 
 /// How a call ended.
@@ -56,6 +62,15 @@
         std::tie(ec, n) = co_await boost::asio::async_write(socket, boost::asio::buffer(script.repeated), kTuple);
         sent += n;
     }
+    if (script.end != Script::End::Open) {
+        timer.expires_after(kReadTime);
+        co_await timer.async_wait(kTuple);
+        if (script.end == Script::End::Reset) {
+            socket.set_option(asio::socket_base::linger(true, 0), ec);
+        }
+        socket.close(ec);
+        co_return;
+    }
     // A close here could reach the client before it has read what was sent.
     co_await socket.async_wait(tcp::socket::wait_read, kTuple);
 }
@@ -167,3 +182,29 @@
     cr_assert(end.answer.ok() && end.answer->body().size() == kMaxBody);
     cr_assert(end.reusable);
 }
+
+Test(client, an_answer_without_a_length_ends_with_its_connection)
+{
+    const auto end = endOfCall({.begin = kHead + "\r\nthe body", .end = Script::End::Closed});
+    cr_assert(end.ended && end.answer.ok(), "%s", describe(end.answer.status()).c_str());
+    cr_expect_eq(end.answer->body(), "the body");
+    cr_expect(not end.reusable);
+}
+
+// Where the connection is the only mark of the end, a reset one marks none.
+Test(client, an_answer_without_a_length_that_is_reset_is_not_complete)
+{
+    for (const auto *body : {"", "the body"}) {
+        const auto end = endOfCall({.begin = kHead + "\r\n" + body, .end = Script::End::Reset});
+        cr_expect(end.ended && absl::IsUnavailable(end.answer.status()), "%s", describe(end.answer.status()).c_str());
+        cr_expect(not end.reusable);
+    }
+}
+
+Test(client, an_answer_with_a_length_or_chunks_that_is_closed_early_is_not_complete)
+{
+    for (const auto &begin : {kHead + "Content-Length: 9\r\n\r\nthe body", kChunkedHead + "8\r\nthe body\r\n"}) {
+        const auto end = endOfCall({.begin = begin, .end = Script::End::Closed});
+        cr_expect(end.ended && absl::IsUnavailable(end.answer.status()), "%s", describe(end.answer.status()).c_str());
+    }
+}
