Let one crash at another service quarantine a part that crashes endpoints

What callers would see: a route that moves to another service, or is split over two, brings its deadly requests along, and each service would take three or four crashes of its own to learn what another one knows.

A part that is quarantined for one service now needs a single crash at another that has never answered it, and its lost requests aren't sent again there. A service that has answered the part keeps it, as before: what crashes one engine may be harmless to another.

Two unit tests; the first is red without the change (three crashes were needed).

--- a/src/forward/prompt_quarantine.cc
+++ b/src/forward/prompt_quarantine.cc
@@ -38,6 +38,14 @@
     }
 }
 
+/// Whether the part is quarantined for another service: a route may move from one to another.
+bool isActiveElsewhere(const std::map<SharedPart, Quarantine> &quarantines, const SharedPart &part)
+{
+    return std::any_of(quarantines.begin(), quarantines.end(), [&](const auto &other) {
+        return other.first.part == part.part && other.first.service != part.service && !other.second.ended;
+    });
+}
+
 /// Whether \a id can stand in logs and documents as it is.
 bool isPlain(std::string_view id)
 {
@@ -249,8 +257,10 @@
 
 bool PromptQuarantine::isConvicted(const SharedPart &part, const Suspect &suspect, int crashes) const
 {
-    const bool answered = suspect.answeredAt || m_answered.answeredAt(part);
-    return crashes >= (answered ? m_options.crashesIfAnswered : m_options.crashes);
+    if (suspect.answeredAt || m_answered.answeredAt(part)) {
+        return crashes >= m_options.crashesIfAnswered;
+    }
+    return crashes >= (isActiveElsewhere(m_quarantines, part) ? 1 : m_options.crashes);
 }
 
 /// Quarantines the parts with most crashes in a row first, since these explain crashes of others.
@@ -345,7 +355,7 @@
     return std::none_of(parts.begin(), parts.end(), [&](const auto &id) {
         const SharedPart part{service, id};
         const auto it = m_suspects.find(part);
-        return isActive(part)
+        return isActive(part) || (isActiveElsewhere(m_quarantines, part) && !m_answered.answeredAt(part))
             || (it != m_suspects.end() && crashesInRow(it->second, explained) >= m_options.crashesToStopRetries);
     });
 }
--- a/src/forward/prompt_quarantine_test.cc
+++ b/src/forward/prompt_quarantine_test.cc
@@ -84,6 +84,28 @@
     cr_expect(it.table.check(ServiceId("other"), kDeadly, kStart + 10s).kind == QuarantineVerdict::Kind::Allowed);
 }
 
+// A route that moves to another service brings its deadly requests along.
+Test(prompt_quarantine, for_another_service_one_crash_is_enough)
+{
+    auto it = convinced();
+    const ServiceId other("other");
+    cr_expect(not it.table.mayRetry(other, kDeadly));
+    it.table.recordCrash(other, endpoint(20), sentAt(kDeadly, kStart + 4s), kStart + 5s);
+    cr_expect(it.table.check(other, kDeadly, kStart + 6s).kind == QuarantineVerdict::Kind::Refused);
+    cr_expect(it.table.check(other, {"system"}, kStart + 6s).kind == QuarantineVerdict::Kind::Allowed);
+}
+
+Test(prompt_quarantine, another_service_that_has_answered_the_part_keeps_it)
+{
+    auto it = convinced();
+    const ServiceId other("other");
+    it.table.recordAnswer(other, kDeadly, kStart + 4s);
+    cr_expect(it.table.mayRetry(other, kDeadly));
+    it.table.recordCrash(other, endpoint(20), sentAt(kDeadly, kStart + 4s), kStart + 5s);
+    cr_expect(it.table.check(other, kDeadly, kStart + 6s).kind == QuarantineVerdict::Kind::Allowed);
+    cr_expect(it.refuses(kDeadly));
+}
+
 Test(prompt_quarantine, an_answer_between_the_crashes_clears_a_part)
 {
     Daemon it;
