Count a trial of a quarantine once

No caller saw it, but the next trial of a part that is sound again would have come four times as late, after 320 s in place of 80.

Cause: the store's follower told the traffic thread of the claim before the claim's own result was there; the trial was then counted from that state once more. It is now computed before the claim.

The test lets the store tell first: red on the old code ('(quarantine.trials) == (1) is false' on all daemons), green now.

--- a/src/gateway/quarantine_director.cc
+++ b/src/gateway/quarantine_director.cc
@@ -164,15 +164,21 @@
 http::Awaitable<bool> QuarantineDirector::claimTrial(std::vector<SharedPart> parts)
 {
     const auto part = parts.front();
-    const auto wanted = m_table.withTrial(part, m_clock.now());
-    if (!wanted || m_clock.now() < m_noClaimBefore || !m_claims.insert(part).second) {
+    QuarantineNews trial; // As it is now: the store may tell of the claim before its result is here.
+    for (const auto &tried : parts) {
+        if (const auto quarantine = m_table.withTrial(tried, m_clock.now())) {
+            trial.quarantines.push_back(*quarantine);
+        }
+    }
+    const bool allActive = trial.quarantines.size() == parts.size();
+    if (!allActive || m_clock.now() < m_noClaimBefore || !m_claims.insert(part).second) {
         co_return false;
     }
     // The caller may leave meanwhile, which destroys this coroutine.
     const std::shared_ptr<void> claimed(nullptr, [this, part](void *) { m_claims.erase(part); });
     const auto claim = std::make_shared<Claim>(m_io);
     claim->timer.expires_after(kClaimPatience);
-    m_callbacks.claimTrial(*wanted, [&io = m_io, claim](bool granted) {
+    m_callbacks.claimTrial(trial.quarantines.front(), [&io = m_io, claim](bool granted) {
         boost::asio::post(io, [claim, granted] {
             claim->granted = granted;
             claim->timer.cancel();
@@ -184,13 +190,7 @@
         co_return false;
     }
     m_trials.add();
-    QuarantineNews begun;
-    for (const auto &tried : parts) {
-        if (const auto quarantine = m_table.withTrial(tried, m_clock.now())) {
-            begun.quarantines.push_back(*quarantine);
-        }
-    }
-    m_table.merge(begun, m_clock.now());
+    m_table.merge(trial, m_clock.now());
     spread();
     co_return true;
 }
--- a/src/gateway/quarantine_director_test.cc
+++ b/src/gateway/quarantine_director_test.cc
@@ -2,6 +2,8 @@
 
 #include "gateway/quarantine_director.h"
 
+#include "http/spawn.h"
+
 #include <boost/asio/post.hpp>
 
 #include <criterion/criterion.h>
@@ -53,6 +55,16 @@
     {
         return m_daemons.at(daemon)->director;
     }
+    /// Has a daemon claim the next trial of the deadly part.
+    bool claimTrial(std::size_t daemon)
+    {
+        bool granted = false;
+        const std::vector<SharedPart> parts = {{kService, "dead"}, {kService, "system"}};
+        const auto claim = [&]() -> http::Awaitable<void> { granted = co_await at(daemon).claimTrial(parts); };
+        http::spawn(m_io, claim());
+        run(std::chrono::milliseconds(100));
+        return granted;
+    }
     /// Lets \a time pass on the event loop, and as much on the clock of the daemons.
     void run(std::chrono::milliseconds time)
     {
@@ -93,7 +105,10 @@
         {
             director.connect(*this,
                              {[this](const Quarantine &, bool own) { m_all.m_writers += own ? 1 : 0; },
-                              [](const Quarantine &, const std::function<void(bool)> &result) { result(true); },
+                              [this](const Quarantine &claimed, const std::function<void(bool)> &result) {
+                                  director.takeStored({claimed}); // Which it may tell first.
+                                  result(true);
+                              },
                               [] {}});
         }
         [[nodiscard]] std::vector<InstanceId> peers() const override
@@ -201,6 +216,23 @@
     cr_expect_eq(daemons.refusing(), 0);
 }
 
+// The store told of the claim before its result was here: the trial was counted twice, and
+// the next one came four times as late.
+Test(quarantine_director, a_trial_counts_once_at_all_daemons)
+{
+    Daemons daemons(7);
+    crashThrice(daemons);
+    daemons.clock().advance(20s);
+    cr_assert(daemons.claimTrial(2));
+    daemons.run(300ms);
+    for (std::size_t i = 0; i < 7; ++i) {
+        for (const auto &quarantine : daemons.at(i).table().quarantines()) {
+            cr_expect_eq(quarantine.trials, 1);
+        }
+        cr_expect(daemons.at(i).check(kService, kDeadly).kind == QuarantineVerdict::Kind::Refused);
+    }
+}
+
 Test(quarantine_director, what_the_store_holds_is_known)
 {
     Daemons daemons(7);
