Heed Retry-After in the test of bookings in an outage

The test was wrong: it repeated refused bookings each 200 ms, ten times, while the refusals said to come back after 1, 2 or 5 s.

It now waits as long as a refusal says, 200 ms at least. It is as strict: ten repeats, each booking must run once, be confirmed, and none may run in the outage.

--- a/tests/booking_steps_test.cc
+++ b/tests/booking_steps_test.cc
@@ -43,6 +43,12 @@
 constexpr auto kOutage = std::chrono::seconds(4);
 constexpr int kOutageBookings = 40;
 
+/// When \a answer tells its caller to come back; zero if it doesn't say.
+std::chrono::seconds retryAfter(const BookingAnswer &answer)
+{
+    return std::chrono::seconds(std::atoi(answer.reply.header("Retry-After").c_str()));
+}
+
 enum class Victim {
     Daemon,
     Endpoint,
@@ -184,7 +190,7 @@
         }
         return runs;
     }
-    /// Repeats \a key through \a daemon until the answer is final; all answers.
+    /// Repeats \a key through \a daemon when the last answer says so, until one is final; all answers.
     [[nodiscard]] static std::vector<BookingAnswer> repeat(const DaemonProcess &daemon, const std::string &key)
     {
         std::vector<BookingAnswer> answers;
@@ -195,7 +201,7 @@
             if (!open) {
                 break;
             }
-            std::this_thread::sleep_for(kRepeatPause);
+            std::this_thread::sleep_for(std::max<std::chrono::milliseconds>(kRepeatPause, retryAfter(last)));
         }
         return answers;
     }
