Name what crashes endpoints by the field's usual word

Tests and comments said 'deadly' for a part that crashes endpoints; the field says poison. 'convicted' in the table of suspects became what it is, a threshold that is reached.

--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -267,7 +267,7 @@
 {
     BatchPlanner planner(rule(), {});
     planner.setEndpoints({endpoint("x"), endpoint("y"), endpoint("z")});
-    planner.add(order("deadly", 1));
+    planner.add(order("poison", 1));
     planner.add(order("sound", 1));
     const auto together = planner.takeCalls(kStart);
     cr_assert_eq(together.size(), 1);
@@ -277,7 +277,7 @@
     cr_assert_eq(apart.size(), 2);
     for (const auto &call : apart) {
         cr_assert_eq(call.pieces.size(), 1);
-        if (call.pieces[0].request.str() == "deadly") {
+        if (call.pieces[0].request.str() == "poison") {
             planner.failed(call.id, BatchFailure::BrokenOff, kStart + 200ms);
         } else {
             planner.ended(call.id, done(call), kStart + 300ms);
--- a/src/forward/prompt_quarantine.cc
+++ b/src/forward/prompt_quarantine.cc
@@ -255,7 +255,7 @@
     return n;
 }
 
-bool PromptQuarantine::isConvicted(const SharedPart &part, const Suspect &suspect, int crashes) const
+bool PromptQuarantine::reachesThreshold(const SharedPart &part, const Suspect &suspect, int crashes) const
 {
     if (suspect.answeredAt || m_answered.answeredAt(part)) {
         return crashes >= m_options.crashesIfAnswered;
@@ -269,23 +269,23 @@
     forgetOld(now);
     while (true) {
         int most = 0;
-        std::vector<SharedPart> convicted;
+        std::vector<SharedPart> reached;
         const auto explained = explainedCrashes();
         for (const auto &[part, suspect] : m_suspects) {
             const int crashes = isActive(part) ? 0 : crashesInRow(suspect, explained);
-            if (crashes < most || !isConvicted(part, suspect, crashes)) {
+            if (crashes < most || !reachesThreshold(part, suspect, crashes)) {
                 continue;
             }
             if (crashes > most) {
                 most = crashes;
-                convicted.clear();
+                reached.clear();
             }
-            convicted.push_back(part);
+            reached.push_back(part);
         }
-        if (convicted.empty()) {
+        if (reached.empty()) {
             return;
         }
-        for (const auto &part : convicted) {
+        for (const auto &part : reached) {
             begin(part, most, now);
         }
     }
--- a/src/forward/prompt_quarantine.h
+++ b/src/forward/prompt_quarantine.h
@@ -120,7 +120,7 @@
     void judge(TimePoint now);
     [[nodiscard]] std::set<EndpointStart> explainedCrashes() const;
     [[nodiscard]] int crashesInRow(const Suspect &suspect, const std::set<EndpointStart> &explained) const;
-    [[nodiscard]] bool isConvicted(const SharedPart &part, const Suspect &suspect, int crashes) const;
+    [[nodiscard]] bool reachesThreshold(const SharedPart &part, const Suspect &suspect, int crashes) const;
     void begin(const SharedPart &part, int crashes, TimePoint now);
     void forgetOld(TimePoint now);
     [[nodiscard]] Duration trialDelay(const Quarantine &quarantine) const;
--- a/src/forward/prompt_quarantine_test.cc
+++ b/src/forward/prompt_quarantine_test.cc
@@ -12,7 +12,7 @@
 
 const ServiceId kService("engine");
 const TimePoint kStart(1h);
-const std::vector<std::string> kDeadly = {"system", "dead"};
+const std::vector<std::string> kPoison = {"system", "dead"};
 
 EndpointStart endpoint(int n)
 {
@@ -51,15 +51,15 @@
     }
 };
 
-/// A daemon that has seen three crashes under the deadly part, and answers under the other.
-Daemon convinced()
+/// A daemon that has seen three crashes under the poison part, and answers under the other.
+Daemon quarantining()
 {
     Daemon it;
     it.answer({"system", "other"}, 0s);
-    it.crash(1, kDeadly, 1s);
-    it.crash(2, kDeadly, 2s);
+    it.crash(1, kPoison, 1s);
+    it.crash(2, kPoison, 2s);
     it.answer({"system", "other"}, 2500ms);
-    it.crash(3, kDeadly, 3s);
+    it.crash(3, kPoison, 3s);
     return it;
 }
 
@@ -67,8 +67,8 @@
 
 Test(prompt_quarantine, a_part_in_flight_at_three_crashes_and_never_answered_is_quarantined)
 {
-    auto it = convinced();
-    cr_expect(it.refuses(kDeadly));
+    auto it = quarantining();
+    cr_expect(it.refuses(kPoison));
     cr_expect(not it.refuses({"system", "other"}));
     cr_expect(not it.refuses({"system"}));
     const auto changes = it.table.takeChanges();
@@ -80,41 +80,41 @@
 
 Test(prompt_quarantine, of_another_service_the_same_part_is_not_quarantined)
 {
-    const auto it = convinced();
-    cr_expect(it.table.check(ServiceId("other"), kDeadly, kStart + 10s).kind == QuarantineVerdict::Kind::Allowed);
+    const auto it = quarantining();
+    cr_expect(it.table.check(ServiceId("other"), kPoison, kStart + 10s).kind == QuarantineVerdict::Kind::Allowed);
 }
 
-// A route that moves to another service brings its deadly requests along.
+// A route that moves to another service brings its poison requests along.
 Test(prompt_quarantine, for_another_service_one_crash_is_enough)
 {
-    auto it = convinced();
+    auto it = quarantining();
     const ServiceId other("other");
-    cr_expect(not it.table.mayRetry(other, kDeadly));
-    it.table.recordCrash(other, endpoint(20), sentAt(kDeadly, kStart + 4s), kStart + 5s);
-    cr_expect(it.table.check(other, kDeadly, kStart + 6s).kind == QuarantineVerdict::Kind::Refused);
+    cr_expect(not it.table.mayRetry(other, kPoison));
+    it.table.recordCrash(other, endpoint(20), sentAt(kPoison, kStart + 4s), kStart + 5s);
+    cr_expect(it.table.check(other, kPoison, kStart + 6s).kind == QuarantineVerdict::Kind::Refused);
     cr_expect(it.table.check(other, {"system"}, kStart + 6s).kind == QuarantineVerdict::Kind::Allowed);
 }
 
 Test(prompt_quarantine, another_service_that_has_answered_the_part_keeps_it)
 {
-    auto it = convinced();
+    auto it = quarantining();
     const ServiceId other("other");
-    it.table.recordAnswer(other, kDeadly, kStart + 4s);
-    cr_expect(it.table.mayRetry(other, kDeadly));
-    it.table.recordCrash(other, endpoint(20), sentAt(kDeadly, kStart + 4s), kStart + 5s);
-    cr_expect(it.table.check(other, kDeadly, kStart + 6s).kind == QuarantineVerdict::Kind::Allowed);
-    cr_expect(it.refuses(kDeadly));
+    it.table.recordAnswer(other, kPoison, kStart + 4s);
+    cr_expect(it.table.mayRetry(other, kPoison));
+    it.table.recordCrash(other, endpoint(20), sentAt(kPoison, kStart + 4s), kStart + 5s);
+    cr_expect(it.table.check(other, kPoison, kStart + 6s).kind == QuarantineVerdict::Kind::Allowed);
+    cr_expect(it.refuses(kPoison));
 }
 
 Test(prompt_quarantine, an_answer_between_the_crashes_clears_a_part)
 {
     Daemon it;
-    it.crash(1, kDeadly, 1s);
-    it.crash(2, kDeadly, 2s);
-    it.answer(kDeadly, 2500ms);
-    it.crash(3, kDeadly, 3s);
-    it.crash(4, kDeadly, 4s);
-    cr_expect(not it.refuses(kDeadly));
+    it.crash(1, kPoison, 1s);
+    it.crash(2, kPoison, 2s);
+    it.answer(kPoison, 2500ms);
+    it.crash(3, kPoison, 3s);
+    it.crash(4, kPoison, 4s);
+    cr_expect(not it.refuses(kPoison));
 }
 
 // What befalls many endpoints at a moment, such as the loss of a zone, isn't the content of a request.
@@ -132,34 +132,34 @@
     Daemon first;
     for (int n = 0; n < 4; ++n) {
         Daemon other;
-        other.crash(1, kDeadly, 1s + n * 100ms); // News that is late on the way.
+        other.crash(1, kPoison, 1s + n * 100ms); // News that is late on the way.
         first.table.merge(other.table.takeNews(), kStart + 3s);
     }
-    cr_expect(not first.refuses(kDeadly));
+    cr_expect(not first.refuses(kPoison));
 }
 
 Test(prompt_quarantine, crashes_seen_by_different_daemons_are_summed)
 {
     std::vector<Daemon> daemons(4);
     for (int n = 0; n < 3; ++n) {
-        daemons[static_cast<std::size_t>(n)].crash(n, kDeadly, 1s + n * 1s);
+        daemons[static_cast<std::size_t>(n)].crash(n, kPoison, 1s + n * 1s);
         daemons[3].table.merge(daemons[static_cast<std::size_t>(n)].table.takeNews(), kStart + 4s);
     }
-    cr_expect(daemons[3].refuses(kDeadly));
-    cr_expect(not daemons[2].refuses(kDeadly));
+    cr_expect(daemons[3].refuses(kPoison));
+    cr_expect(not daemons[2].refuses(kPoison));
     daemons[2].table.merge(daemons[3].table.takeNews(), kStart + 5s);
-    cr_expect(daemons[2].refuses(kDeadly));
+    cr_expect(daemons[2].refuses(kPoison));
     cr_expect_eq(daemons[2].table.digest(), daemons[3].table.digest());
 }
 
 // A sound request that met the same crashes isn't to blame for them.
 Test(prompt_quarantine, crashes_that_a_quarantined_part_explains_do_not_count_against_others)
 {
-    auto it = convinced();
+    auto it = quarantining();
     it.crash(4, {"dead", "rare"}, 4s);
     it.crash(5, {"dead", "rare"}, 5s);
     it.crash(6, {"dead", "rare"}, 6s);
-    cr_expect(it.refuses(kDeadly));
+    cr_expect(it.refuses(kPoison));
     cr_expect(not it.refuses({"rare"}));
 }
 
@@ -180,74 +180,74 @@
 
 Test(prompt_quarantine, a_daemon_that_has_seen_answers_makes_the_first_trial_come_sooner)
 {
-    auto judge = convinced();
+    auto judge = quarantining();
     Daemon knows;
     knows.answer({"dead"}, 0s);
     knows.table.merge({{}, {}, judge.table.quarantines()}, kStart + 4s);
     judge.table.merge(knows.table.takeNews(), kStart + 4s);
-    cr_expect(judge.check(kDeadly, 5s).kind == QuarantineVerdict::Kind::Refused);
-    cr_expect(judge.check(kDeadly, 7s).kind == QuarantineVerdict::Kind::TrialDue);
+    cr_expect(judge.check(kPoison, 5s).kind == QuarantineVerdict::Kind::Refused);
+    cr_expect(judge.check(kPoison, 7s).kind == QuarantineVerdict::Kind::TrialDue);
 }
 
 Test(prompt_quarantine, a_lost_request_is_not_sent_again_after_the_second_crash)
 {
     Daemon it;
-    it.crash(1, kDeadly, 1s);
-    cr_expect(it.table.mayRetry(kService, kDeadly));
-    it.crash(2, kDeadly, 2s);
-    cr_expect(not it.table.mayRetry(kService, kDeadly));
+    it.crash(1, kPoison, 1s);
+    cr_expect(it.table.mayRetry(kService, kPoison));
+    it.crash(2, kPoison, 2s);
+    cr_expect(not it.table.mayRetry(kService, kPoison));
     cr_expect(it.table.mayRetry(kService, {"other"}));
-    cr_expect(not it.refuses(kDeadly));
+    cr_expect(not it.refuses(kPoison));
 }
 
 Test(prompt_quarantine, trials_become_rare_and_each_is_due_once)
 {
-    auto it = convinced();
-    cr_expect(it.refuses(kDeadly, 22s));
-    cr_expect(it.check(kDeadly, 24s).kind == QuarantineVerdict::Kind::TrialDue);
+    auto it = quarantining();
+    cr_expect(it.refuses(kPoison, 22s));
+    cr_expect(it.check(kPoison, 24s).kind == QuarantineVerdict::Kind::TrialDue);
     const auto trial = it.table.withTrial({kService, "dead"}, kStart + 24s);
     cr_assert(trial.has_value());
     it.table.merge({{}, {}, {*trial}}, kStart + 24s);
-    cr_expect(it.refuses(kDeadly, 60s));
-    cr_expect(it.check(kDeadly, 60s).retryAfter > 40s);
-    cr_expect(it.check(kDeadly, 105s).kind == QuarantineVerdict::Kind::TrialDue);
+    cr_expect(it.refuses(kPoison, 60s));
+    cr_expect(it.check(kPoison, 60s).retryAfter > 40s);
+    cr_expect(it.check(kPoison, 105s).kind == QuarantineVerdict::Kind::TrialDue);
 }
 
 Test(prompt_quarantine, an_answer_ends_a_quarantine_everywhere)
 {
-    auto it = convinced();
+    auto it = quarantining();
     Daemon other;
     other.table.merge(it.table.takeNews(), kStart + 4s);
-    cr_expect(other.refuses(kDeadly));
-    it.answer(kDeadly, 30s);
+    cr_expect(other.refuses(kPoison));
+    it.answer(kPoison, 30s);
     const auto end = it.table.takeNews();
     other.table.merge(end, kStart + 31s);
-    cr_expect(not it.refuses(kDeadly, 31s));
-    cr_expect(not other.refuses(kDeadly, 31s));
+    cr_expect(not it.refuses(kPoison, 31s));
+    cr_expect(not other.refuses(kPoison, 31s));
     // News from before, which comes late, brings it back nowhere.
-    other.table.merge(convinced().table.takeNews(), kStart + 32s);
-    cr_expect(not other.refuses(kDeadly, 33s));
+    other.table.merge(quarantining().table.takeNews(), kStart + 32s);
+    cr_expect(not other.refuses(kPoison, 33s));
 }
 
 Test(prompt_quarantine, a_part_can_be_quarantined_again)
 {
-    auto it = convinced();
+    auto it = quarantining();
     cr_expect(it.table.end({kService, "dead"}, kStart + 5s));
     cr_expect(not it.table.end({kService, "dead"}, kStart + 5s));
     for (int n = 0; n < 6; ++n) {
-        it.crash(10 + n, kDeadly, 10s + n * 1s);
+        it.crash(10 + n, kPoison, 10s + n * 1s);
     }
-    cr_expect(it.refuses(kDeadly, 16s));
+    cr_expect(it.refuses(kPoison, 16s));
     cr_expect_eq(it.table.quarantines().front().number, 2);
 }
 
 Test(prompt_quarantine, old_crashes_do_not_count)
 {
     Daemon it;
-    it.crash(1, kDeadly, 1s);
-    it.crash(2, kDeadly, 11min);
-    it.crash(3, kDeadly, 22min);
-    cr_expect(not it.refuses(kDeadly, 22min + 1s));
+    it.crash(1, kPoison, 1s);
+    it.crash(2, kPoison, 11min);
+    it.crash(3, kPoison, 22min);
+    cr_expect(not it.refuses(kPoison, 22min + 1s));
 }
 
 Test(prompt_quarantine, memory_is_bounded_under_ever_new_parts)
@@ -344,20 +344,20 @@
 {
     Daemon it;
     for (int n = 0; n < 3; ++n) {
-        it.crash(1, kDeadly, 1s + n * 2s);
+        it.crash(1, kPoison, 1s + n * 2s);
     }
-    cr_expect(it.refuses(kDeadly));
+    cr_expect(it.refuses(kPoison));
 }
 
 // One request that is sent again crashes endpoints faster than anything else does.
 Test(prompt_quarantine, a_second_send_right_after_a_crash_counts)
 {
     Daemon it;
-    it.crash(1, kDeadly, 1000ms);
-    it.crash(2, kDeadly, 1060ms);
-    cr_expect(not it.table.mayRetry(kService, kDeadly));
-    it.crash(3, kDeadly, 1100ms); // Sent before the crash at 1060 ms.
-    cr_expect(not it.refuses(kDeadly));
-    it.crash(4, kDeadly, 1200ms);
-    cr_expect(it.refuses(kDeadly));
+    it.crash(1, kPoison, 1000ms);
+    it.crash(2, kPoison, 1060ms);
+    cr_expect(not it.table.mayRetry(kService, kPoison));
+    it.crash(3, kPoison, 1100ms); // Sent before the crash at 1060 ms.
+    cr_expect(not it.refuses(kPoison));
+    it.crash(4, kPoison, 1200ms);
+    cr_expect(it.refuses(kPoison));
 }
--- a/src/gateway/quarantine_director_test.cc
+++ b/src/gateway/quarantine_director_test.cc
@@ -15,7 +15,7 @@
 {
 
 const ServiceId kService("engine");
-const std::vector<std::string> kDeadly = {"system", "dead"};
+const std::vector<std::string> kPoison = {"system", "dead"};
 
 /// Daemons in three zones that exchange news without delay.
 class Daemons
@@ -55,7 +55,7 @@
     {
         return m_daemons.at(daemon)->director;
     }
-    /// Has a daemon claim the next trial of the deadly part.
+    /// Has a daemon claim the next trial of the poison part.
     bool claimTrial(std::size_t daemon)
     {
         bool granted = false;
@@ -73,11 +73,11 @@
             m_clock.advance(10ms);
         }
     }
-    /// Daemons that refuse the deadly part.
+    /// Daemons that refuse the poison part.
     [[nodiscard]] std::size_t refusing() const
     {
         return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](const auto &daemon) {
-            return daemon->director.check(kService, kDeadly).kind != QuarantineVerdict::Kind::Allowed;
+            return daemon->director.check(kService, kPoison).kind != QuarantineVerdict::Kind::Allowed;
         }));
     }
     [[nodiscard]] std::size_t messages() const
@@ -156,7 +156,7 @@
 void crashThrice(Daemons &daemons)
 {
     for (int n = 0; n < 3; ++n) {
-        daemons.crash(static_cast<std::size_t>(n), n, kDeadly);
+        daemons.crash(static_cast<std::size_t>(n), n, kPoison);
         daemons.run(300ms);
     }
 }
@@ -198,7 +198,7 @@
 {
     Daemons daemons(7, [](int from, int to) { return (from == 2) == (to == 2); });
     for (int n = 0; n < 3; ++n) {
-        daemons.crash(static_cast<std::size_t>(n % 2), n, kDeadly); // Both outside of the cut.
+        daemons.crash(static_cast<std::size_t>(n % 2), n, kPoison); // Both outside of the cut.
         daemons.run(300ms);
     }
     cr_expect_eq(daemons.refusing(), 5);
@@ -211,7 +211,7 @@
 {
     Daemons daemons(7);
     crashThrice(daemons);
-    daemons.at(5).recordAnswer(kService, kDeadly);
+    daemons.at(5).recordAnswer(kService, kPoison);
     daemons.run(300ms);
     cr_expect_eq(daemons.refusing(), 0);
 }
@@ -229,7 +229,7 @@
         for (const auto &quarantine : daemons.at(i).table().quarantines()) {
             cr_expect_eq(quarantine.trials, 1);
         }
-        cr_expect(daemons.at(i).check(kService, kDeadly).kind == QuarantineVerdict::Kind::Refused);
+        cr_expect(daemons.at(i).check(kService, kPoison).kind == QuarantineVerdict::Kind::Refused);
     }
 }
 
