Heed endpoints that say in answers that they leave or want a rest

By the users' new rules an endpoint that leaves says so in each answer (Server-Leaving: 1), and one that turns a request away with 503 may add Retry-After; we heeded neither, so that requests went on to endpoints about to stop, and to ones that wanted a rest.

Cause: only the store's entry said that an endpoint leaves, and a refusal paused nothing beyond its own request.

EndpointNotices (pure) holds what endpoints said until they start anew, NoticeRecorder takes it from answers of requests and batches, and GatewayTraffic hands it to all that choose endpoints: the selector (requests, repeats, resumed streams, trials), and the planner (pieces, questions for memory, releases). A request that chose an endpoint and still waits for its connection looks again before it is sent. Times to rest are bounded at ten minutes, odd ones ask for nothing, daemons come back in a spread and for a second with the care that cold endpoints get. While all rest, requests are refused at once with the time of the first return.

--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -67,6 +67,33 @@
     });
 }
 
+void BatchPlanner::recordRest(const EndpointStart &endpoint, TimePoint until)
+{
+    const auto it = m_endpoints.find(endpoint.endpoint);
+    if (it == m_endpoints.end() || it->second.listed.startedAtMs != endpoint.startedAtMs) {
+        return;
+    }
+    auto &state = it->second;
+    state.restsUntil = std::max(state.restsUntil, until);
+    state.pausedUntil = std::max(state.pausedUntil, state.restsUntil);
+}
+
+std::set<EndpointId> BatchPlanner::restingEndpoints(TimePoint now) const
+{
+    std::set<EndpointId> resting;
+    for (const auto &[id, state] : m_endpoints) {
+        if (now < state.restsUntil) {
+            resting.insert(id);
+        }
+    }
+    return resting;
+}
+
+std::vector<ResultRelease> BatchPlanner::takeReleases(TimePoint now)
+{
+    return m_memory.takeReleases(restingEndpoints(now));
+}
+
 PieceOrderId BatchPlanner::add(PieceOrder order)
 {
     m_lastOrder = m_lastOrder.next();
@@ -223,7 +250,8 @@
     constexpr int kMaxDoublings = 4;
     const auto delay = m_options.failedPause * (1 << std::min(endpoint.failures, kMaxDoublings));
     ++endpoint.failures;
-    endpoint.pausedUntil = now + std::min<Duration>(delay, m_options.failedPauseMax);
+    const TimePoint pausedUntil = now + std::min<Duration>(delay, m_options.failedPauseMax);
+    endpoint.pausedUntil = std::max(endpoint.restsUntil, pausedUntil);
     updateHealth(endpoint, now);
 }
 
@@ -289,7 +317,7 @@
 
 std::vector<MemoryQuery> BatchPlanner::takeMemoryQueries(TimePoint now)
 {
-    return m_queue.empty() ? std::vector<MemoryQuery>() : m_memory.takeMemoryQueries(now);
+    return m_queue.empty() ? std::vector<MemoryQuery>() : m_memory.takeMemoryQueries(now, restingEndpoints(now));
 }
 
 void BatchPlanner::dropExpired(TimePoint now)
@@ -682,6 +710,18 @@
     return next;
 }
 
+/// The time until the first usable endpoint may be called, if all of them rest; else zero.
+Duration BatchPlanner::restOfAll(TimePoint now) const
+{
+    auto rest = Duration::max();
+    for (const auto &[id, state] : m_endpoints) {
+        if (state.usable) {
+            rest = std::min(rest, std::max(Duration::zero(), Duration(state.restsUntil - now)));
+        }
+    }
+    return rest == Duration::max() ? Duration::zero() : rest;
+}
+
 BatchLoad BatchPlanner::load(TimePoint now) const
 {
     BatchLoad load;
@@ -701,6 +741,7 @@
     }
     if (load.endpoints == 0) {
         load.wait = Duration::max();
+        load.rest = restOfAll(now);
         return load;
     }
     const double full = static_cast<double>(load.queued) / m_rule.maxPieces;
--- a/src/forward/batch_planner.h
+++ b/src/forward/batch_planner.h
@@ -94,6 +94,7 @@
     int queued = 0; ///< Pieces in the queue.
     int endpoints = 0; ///< Endpoints that may get calls.
     Duration wait{}; ///< Estimated time until a piece that is added now is started.
+    Duration rest{}; ///< Until the first of its endpoints may be called, if all have asked for a rest.
     Duration call{}; ///< Expected time of a full call.
 };
 
@@ -110,6 +111,9 @@
     void setEndpoints(const std::vector<ListedEndpoint> &endpoints);
 
     PieceOrderId add(PieceOrder order);
+    /// Records that \a endpoint gets nothing until \a until, since it wants a rest. A later start
+    /// of it is not meant.
+    void recordRest(const EndpointStart &endpoint, TimePoint until);
     /// Cancels the order; results of its calls in flight are dropped.
     void cancel(PieceOrderId id);
     /// Records the response to \a call; \a results are those of its pieces, in their order.
@@ -129,11 +133,8 @@
     [[nodiscard]] std::vector<BatchCall> takeCalls(TimePoint now);
     /// Orders that ended since the last call.
     [[nodiscard]] std::vector<EndedOrder> takeEnded();
-    /// Results that are to be dropped at the endpoints that made them.
-    [[nodiscard]] std::vector<ResultRelease> takeReleases()
-    {
-        return m_memory.takeReleases();
-    }
+    /// Results that are to be dropped now at the endpoints that made them.
+    [[nodiscard]] std::vector<ResultRelease> takeReleases(TimePoint now);
     /// The endpoint of \a release has responded or is unreachable.
     void releaseEnded(const ResultRelease &release)
     {
@@ -188,6 +189,7 @@
         int running = 0;
         int failures = 0; ///< Consecutive failed calls.
         TimePoint pausedUntil;
+        TimePoint restsUntil; ///< It wants nothing from this daemon before; pausedUntil isn't sooner.
         double latencyRatio = 1.0; ///< Moving average of the time of its calls over their expected time.
         TimePoint freeAt; ///< Expected end of its last call.
         EndpointHealth health = EndpointHealth::Healthy;
@@ -204,6 +206,7 @@
 
     [[nodiscard]] Duration expectedTime(std::size_t pieces) const;
     void dropExpired(TimePoint now);
+    [[nodiscard]] std::set<EndpointId> restingEndpoints(TimePoint now) const;
     [[nodiscard]] std::vector<CallSlot> callSlots(TimePoint now) const;
     void dropInfeasible(TimePoint now);
     [[nodiscard]] bool isLate(const PieceOrder &order, TimePoint now) const;
@@ -230,6 +233,7 @@
     void endOrder(PieceOrderId id, PieceOutcome outcome);
     [[nodiscard]] const EndpointState *endpointOf(const RunningCall &call) const;
     [[nodiscard]] EndpointState *endpointOf(const RunningCall &call);
+    [[nodiscard]] Duration restOfAll(TimePoint now) const;
     void pause(EndpointState &endpoint, TimePoint now);
     void updateHealth(EndpointState &endpoint, TimePoint now);
 
--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -213,7 +213,7 @@
     const auto ended = planner.takeEnded();
     cr_assert(planner.takeCalls(kStart + 200ms).empty());
     cr_assert(planner.release(ended[0].result.handles).empty());
-    const auto releases = planner.takeReleases();
+    const auto releases = planner.takeReleases(kStart);
     cr_assert_eq(releases.size(), 1);
     cr_assert(planner.takeCalls(kStart + 210ms).empty()); // The endpoint may not have processed the release yet.
     planner.releaseEnded(releases[0]);
@@ -245,7 +245,7 @@
     planner.cancel(id);
     planner.ended(calls[0].id, done(calls[0]), kStart + 200ms);
     cr_assert(planner.takeEnded().empty());
-    const auto releases = planner.takeReleases();
+    const auto releases = planner.takeReleases(kStart);
     cr_assert_eq(releases.size(), 1);
     cr_assert_eq(releases[0].handles.size(), 2);
 }
@@ -551,7 +551,7 @@
     const auto result = done(first[0])[0].handle;
     cr_assert(planner.callsToGiveUp(kStart + 2s).empty());
     cr_assert(planner.release({result}).empty());
-    for (const auto &release : planner.takeReleases()) {
+    for (const auto &release : planner.takeReleases(kStart)) {
         planner.releaseEnded(release);
     }
     cr_assert(planner.callsToGiveUp(kStart + 2s) == std::vector{silent[0].id});
--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -144,7 +144,7 @@
 bool EndpointSelector::mayUse(const ServiceState &service, State &state, const EndpointQuery &query,
                               TimePoint now) const
 {
-    if (!state.usable) {
+    if (!state.usable || now < state.restsUntil) {
         return false;
     }
     if (query.only && *query.only != state.listed.info.id) {
@@ -232,6 +232,9 @@
     auto &service = it->second;
     const auto usable = candidates(service, query, now);
     if (usable.empty()) {
+        if (const auto rest = restOf(query.service, now)) {
+            return NoEndpointChosen{Reason::Overloaded, *rest, /*resting=*/true};
+        }
         const bool any = std::any_of(service.endpoints.begin(), service.endpoints.end(),
                                      [](const auto &entry) { return entry.second.usable; });
         return any ? NoEndpointChosen{Reason::Overloaded, m_options.overloadedRetry}
@@ -359,6 +362,12 @@
     return state != nullptr && state->usable;
 }
 
+bool EndpointSelector::mayCall(const EndpointId &endpoint, TimePoint now) const
+{
+    const auto *state = find(endpoint);
+    return state != nullptr && state->usable && now >= state->restsUntil;
+}
+
 void EndpointSelector::recordSilence(const EndpointId &endpoint, TimePoint now)
 {
     if (auto *state = find(endpoint)) {
@@ -367,6 +376,35 @@
     }
 }
 
+void EndpointSelector::recordRest(const EndpointStart &endpoint, TimePoint until)
+{
+    auto *state = find(endpoint.endpoint);
+    if (state == nullptr || state->listed.startedAtMs != endpoint.startedAtMs) {
+        return;
+    }
+    state->restsUntil = std::max(state->restsUntil, until);
+    state->coldUntil = std::max(state->coldUntil, until + m_options.careAfterRest);
+}
+
+std::optional<Duration> EndpointSelector::restOf(const ServiceId &service, TimePoint now) const
+{
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, state] : it->second.endpoints) {
+        if (!state.usable) {
+            continue;
+        }
+        if (state.restsUntil <= now) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(state.restsUntil), state.restsUntil);
+    }
+    return earliest ? std::optional<Duration>(*earliest - now) : std::nullopt;
+}
+
 void EndpointSelector::recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now)
 {
     if (auto *state = find(endpoint)) {
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -48,6 +48,7 @@
 struct NoEndpointChosen {
     Reason reason = Reason::NoEndpoint; ///< NoEndpoint or Overloaded.
     Duration retryAfter{};
+    bool resting = false; ///< All that could take it have asked this daemon for a rest.
 };
 
 /// How a send ended. Later choices depend on it.
@@ -71,6 +72,7 @@
     double errorRateWeight = 0.1; ///< Weight of a new outcome in an endpoint's error rate.
     Duration noEndpointRetry = std::chrono::milliseconds(500);
     Duration overloadedRetry = std::chrono::milliseconds(250);
+    Duration careAfterRest = std::chrono::seconds(1); ///< For which an endpoint that has rested counts as cold.
 };
 
 /// Keeps the endpoints of all services with the measurements of each, and selects
@@ -106,10 +108,17 @@
     /// Records that the endpoint was silent for longer than usual while a send to it goes
     /// on. Like a lost response, a single one is weak evidence.
     void recordSilence(const EndpointId &endpoint, TimePoint now);
+    /// Records that \a endpoint gets nothing until \a until, since it wants a rest, and after that
+    /// for a while no more than a cold one. A later start of it is not meant.
+    void recordRest(const EndpointStart &endpoint, TimePoint until);
     /// Records the load that the endpoint reported: requests that run and that wait there.
     void recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now);
     /// Whether the endpoint is listed, is not leaving and its zone is open.
     [[nodiscard]] bool isUsable(const EndpointId &endpoint) const;
+    /// Whether the endpoint is usable and doesn't rest.
+    [[nodiscard]] bool mayCall(const EndpointId &endpoint, TimePoint now) const;
+    /// The time until an endpoint of \a service may be used, if all that are usable rest.
+    [[nodiscard]] std::optional<Duration> restOf(const ServiceId &service, TimePoint now) const;
     /// Whether the endpoint is slow since it has just started.
     [[nodiscard]] bool isCold(const EndpointId &endpoint, TimePoint now) const;
     /// Changes of health since the last call.
@@ -132,6 +141,7 @@
         TimePoint reportedAt;
         int failures = 0; ///< Consecutive failures.
         TimePoint pausedUntil;
+        TimePoint restsUntil; ///< It wants nothing from this daemon before.
         double errorRate = 0.0; ///< Moving average of the share of failed responses.
         double latencyRatio = 1.0; ///< Moving average of response time over typical response time.
         TimePoint latencySampledAt;
--- a/src/forward/listed_endpoint.h
+++ b/src/forward/listed_endpoint.h
@@ -4,6 +4,7 @@
 #include "mimosahub/endpoint.h"
 
 #include <cstdint>
+#include <tuple>
 
 namespace mimosahub
 {
@@ -20,4 +21,21 @@
     friend bool operator==(const ListedEndpoint &, const ListedEndpoint &) = default;
 };
 
+/// One start of an endpoint's process.
+struct EndpointStart {
+    EndpointId endpoint;
+    std::int64_t startedAtMs = 0; ///< As in the endpoint's entry.
+
+    friend bool operator==(const EndpointStart &, const EndpointStart &) = default;
+    friend bool operator<(const EndpointStart &a, const EndpointStart &b)
+    {
+        return std::tie(a.endpoint, a.startedAtMs) < std::tie(b.endpoint, b.startedAtMs);
+    }
+};
+
+[[nodiscard]] inline EndpointStart startOf(const ListedEndpoint &endpoint)
+{
+    return {endpoint.info.id, endpoint.startedAtMs};
+}
+
 } // namespace mimosahub
--- a/src/forward/quarantine_news.h
+++ b/src/forward/quarantine_news.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/listed_endpoint.h"
 #include "forward/prompt_affinity.h"
 #include "mimosahub/clock.h"
 #include "mimosahub/ids.h"
@@ -26,18 +27,6 @@
     }
 };
 
-/// One start of an endpoint's process.
-struct EndpointStart {
-    EndpointId endpoint;
-    std::int64_t startedAtMs = 0; ///< As in the endpoint's entry.
-
-    friend bool operator==(const EndpointStart &, const EndpointStart &) = default;
-    friend bool operator<(const EndpointStart &a, const EndpointStart &b)
-    {
-        return std::tie(a.endpoint, a.startedAtMs) < std::tie(b.endpoint, b.startedAtMs);
-    }
-};
-
 /// An endpoint crashed while a request with the part was in flight there.
 struct CrashReport {
     SharedPart part;
--- a/src/forward/result_memory.cc
+++ b/src/forward/result_memory.cc
@@ -68,14 +68,18 @@
     return true;
 }
 
-std::vector<ResultRelease> ResultMemory::takeReleases()
+std::vector<ResultRelease> ResultMemory::takeReleases(const std::set<EndpointId> &resting)
 {
     std::vector<ResultRelease> releases;
     releases.reserve(m_releases.size());
-    for (auto &[endpoint, release] : m_releases) {
-        releases.push_back(std::move(release));
+    for (auto it = m_releases.begin(); it != m_releases.end();) {
+        if (resting.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        releases.push_back(std::move(it->second));
+        it = m_releases.erase(it);
     }
-    m_releases.clear();
     return releases;
 }
 
@@ -122,11 +126,11 @@
     return !recent && needsReport(account);
 }
 
-std::vector<MemoryQuery> ResultMemory::takeMemoryQueries(TimePoint now)
+std::vector<MemoryQuery> ResultMemory::takeMemoryQueries(TimePoint now, const std::set<EndpointId> &resting)
 {
     std::vector<MemoryQuery> queries;
     for (auto &[endpoint, account] : m_accounts) {
-        if (queryDue(account, now)) {
+        if (queryDue(account, now) && !resting.contains(endpoint)) {
             account.queriedAt = now;
             account.knownBytesAtQuery = account.knownBytes;
             queries.push_back({endpoint, account.address});
--- a/src/forward/result_memory.h
+++ b/src/forward/result_memory.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 /// Accounting of the memory that the endpoints of one service use for results of stages.
@@ -69,8 +70,8 @@
     bool drop(const ResultHandle &handle);
     /// Results that are to be dropped at the endpoints that made them. Their memory counts
     /// as free only once the endpoint has responded: a call that overtook the release
-    /// would find no free memory.
-    [[nodiscard]] std::vector<ResultRelease> takeReleases();
+    /// would find no free memory. Those of \a resting endpoints stay.
+    [[nodiscard]] std::vector<ResultRelease> takeReleases(const std::set<EndpointId> &resting = {});
     /// The endpoint of \a release has responded or is unreachable.
     void releaseEnded(const ResultRelease &release);
     /// Removes results whose lifetime is over: their endpoints have dropped them.
@@ -80,8 +81,8 @@
     void recordMemoryFull(const EndpointId &endpoint);
     /// Discards the reports of all endpoints, and so the known usage by others.
     void forgetOtherUsage();
-    /// Endpoints that are to be queried now; records the queries as sent.
-    [[nodiscard]] std::vector<MemoryQuery> takeMemoryQueries(TimePoint now);
+    /// Endpoints that are to be queried now, without \a resting ones; records the queries as sent.
+    [[nodiscard]] std::vector<MemoryQuery> takeMemoryQueries(TimePoint now, const std::set<EndpointId> &resting = {});
     /// Records the endpoint's report that \a freeBytes were free; it may have less by now.
     void recordFreeBytes(const EndpointId &endpoint, std::uint64_t freeBytes);
     /// Whether the usage is known or its query timed out, so that a call may be sent.
--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -62,6 +62,9 @@
     std::optional<RequestId> request; ///< The request that it answers.
     std::optional<EndpointLoad> load;
     std::optional<Duration> idleTimeout; ///< The connection is closed when idle for so long.
+    bool leaving = false; ///< The endpoint is about to stop and wants no new calls.
+    /// The endpoint turned the call away and wants no further ones from this daemon for so long.
+    std::optional<Duration> rest;
 };
 
 /// How callers and endpoints speak on a deployment. Decides nothing.
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -259,7 +259,7 @@
 Duration ForwardedRequest::comeBackAfter()
 {
     const auto wait = std::clamp<Duration>(m_stages->longestWait(), kRetryAfter, kLongestRetryAfter);
-    return m_context.random.jitter(wait, kRetrySpread);
+    return std::max(m_stages->longestRest(), m_context.random.jitter(wait, kRetrySpread));
 }
 
 Outcome ForwardedRequest::outcome() const
@@ -325,8 +325,10 @@
         }
         auto choice = m_sends->next(repeat);
         if (const auto *none = std::get_if<NoEndpointChosen>(&choice)) {
-            auto refusal =
-                makeRefusal(none->reason, "no endpoint may take the request", Step::Choose, none->retryAfter);
+            auto refusal = makeRefusal(none->reason,
+                                       none->resting ? "all endpoints have asked this daemon for a rest"
+                                                     : "no endpoint may take the request",
+                                       Step::Choose, none->retryAfter);
             refusal.outcome = outcome();
             co_await refuse(std::move(refusal));
             co_return;
@@ -390,7 +392,7 @@
     refusal.step = std::string(stepName(Step::Receive));
     if (refusal.outcome == Outcome::NotRun) {
         refusal.reason = m_context.stop.refusing ? Reason::Draining : Reason::Overloaded;
-        refusal.retryAfter = kRetryAfter;
+        refusal.retryAfter = m_context.selector.restOf(m_service, m_context.clock.now()).value_or(kRetryAfter);
     } else {
         refusal.reason = left() < RequestSends::kMinSendTime ? Reason::DeadlinePassed : Reason::EndpointLost;
     }
@@ -440,6 +442,12 @@
         send->releaseConnection();
         co_return report;
     }
+    if (!m_context.selector.mayCall(m_endpoint, m_context.clock.now())) {
+        report.result = SendResult::Unreachable;
+        report.why = "the endpoint left or began a rest meanwhile";
+        send->releaseConnection();
+        co_return report;
+    }
     m_sentAt = m_context.clock.now();
     m_firstByte.reset();
     auto request = m_context.protocol.writeCall(m_exchange.request(), options(endpoint.info.id));
@@ -534,6 +542,7 @@
             co_return report;
         }
     }
+    m_context.notices.record(send.endpoint(), report.head, m_call.id.str());
     if (report.head.notRun) {
         const auto body = co_await connection.readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes);
         report.result = report.head.otherEndpoint ? SendResult::OtherEndpoint : SendResult::Refused;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -10,6 +10,7 @@
 #include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
+#include "gateway/notice_recorder.h"
 #include "gateway/quarantine_director.h"
 #include "gateway/request_sends.h"
 #include "gateway/request_stages.h"
@@ -47,6 +48,7 @@
     http::ConnectionPool &pool;
     StageWork &stages;
     EndpointSelector &selector;
+    NoticeRecorder &notices;
     CrashDetector &crashes;
     QuarantineDirector &quarantine;
     std::map<ServiceId, RetryBudget> &secondSends;
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -66,7 +66,8 @@
       m_work(boost::asio::make_work_guard(*m_io)),
       m_random(seed),
       m_pool(*m_io, shared.clock, {}),
-      m_stages(*m_io, shared.clock, shared.protocol, m_pool, shared.metrics),
+      m_notices(shared.clock, m_random, shared.metrics),
+      m_stages(*m_io, shared.clock, shared.protocol, m_pool, m_notices, shared.metrics),
       m_crashes(*m_io, shared.clock, m_pool, shared.metrics),
       m_quarantine(*m_io, shared.clock, shared.metrics, m_random),
       m_secondSendSettings(shared.settings.secondSends),
@@ -75,13 +76,24 @@
                  {shared.settings.rollouts.exposureShare, shared.settings.rollouts.exposureSlack}, shared.metrics,
                  m_random)
 {
+    connectNotices();
+}
+
+void GatewayTraffic::connectNotices()
+{
+    // Applied in a turn of its own: the answer that brought the notice is still being read.
+    m_notices.connect({[this] { boost::asio::post(*m_io, [this] { takeView(); }); },
+                       [this](const EndpointStart &endpoint, TimePoint until) {
+                           m_selector.recordRest(endpoint, until);
+                           m_stages.recordRest(endpoint, until);
+                       }});
 }
 
 void GatewayTraffic::makeContext()
 {
     m_context = std::make_unique<ForwardContext>(
         ForwardContext{*m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector,
-                       m_crashes, m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual,
+                       m_notices, m_crashes, m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual,
                        m_metrics, m_affinities, m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
 }
 
@@ -151,26 +163,43 @@
     });
 }
 
+GatewayView GatewayTraffic::noticedView()
+{
+    auto view = *m_shared.views.load();
+    m_notices.notices().markLeaving(view.endpoints);
+    return view;
+}
+
 void GatewayTraffic::takeView()
 {
-    const auto view = m_shared.views.load();
-    if (!view->configuration) {
+    const auto view = noticedView();
+    if (!view.configuration) {
         return;
     }
-    const auto daemons = std::max<std::size_t>(1, view->daemons.size());
+    const auto daemons = std::max<std::size_t>(1, view.daemons.size());
     std::size_t rank = 0;
-    for (std::size_t i = 0; i < view->daemons.size(); ++i) {
-        if (view->daemons[i].id == m_shared.settings.instance.id) {
+    for (std::size_t i = 0; i < view.daemons.size(); ++i) {
+        if (view.daemons[i].id == m_shared.settings.instance.id) {
             rank = i;
         }
     }
     m_selector.setDaemons(static_cast<int>(daemons), static_cast<int>(rank));
-    m_selector.setListing(view->endpoints, *view->configuration, view->closedZones, m_shared.clock.now());
+    m_selector.setListing(view.endpoints, *view.configuration, view.closedZones, m_shared.clock.now());
     boundSecondSends(daemons);
-    m_router->setDaemons(view->daemons);
-    m_rollouts.setView(*view);
-    setStages(*view);
-    m_server->setLimits(serverOptions(view->configuration->parts().limits));
+    m_router->setDaemons(view.daemons);
+    m_rollouts.setView(view);
+    setStages(view);
+    applyRests();
+    m_server->setLimits(serverOptions(view.configuration->parts().limits));
+}
+
+// An endpoint whose entry was missing for a while is new to those that choose.
+void GatewayTraffic::applyRests()
+{
+    for (const auto &[endpoint, until] : m_notices.notices().rests(m_shared.clock.now())) {
+        m_selector.recordRest(endpoint, until);
+        m_stages.recordRest(endpoint, until);
+    }
 }
 
 void GatewayTraffic::boundSecondSends(std::size_t daemons)
@@ -199,7 +228,10 @@
 void GatewayTraffic::connectRollouts(std::function<void(const WantedStatus &)> wantStatus)
 {
     m_router->setRollouts(m_rollouts);
-    m_rollouts.connect(*m_router, {std::move(wantStatus), [this] { setStages(*m_shared.views.load()); }});
+    m_rollouts.connect(*m_router, {std::move(wantStatus), [this] {
+                           setStages(noticedView());
+                           applyRests();
+                       }});
 }
 
 void GatewayTraffic::connectQuarantine(QuarantineStore store)
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -75,6 +75,10 @@
     http::Awaitable<void> handle(http::Exchange &exchange);
     void makeContext();
     void takeView();
+    void connectNotices();
+    /// The view with what its endpoints have said of themselves since.
+    [[nodiscard]] GatewayView noticedView();
+    void applyRests();
     void boundSecondSends(std::size_t daemons);
     void setStages(const GatewayView &view);
 
@@ -83,6 +87,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     Random m_random;
     http::ConnectionPool m_pool;
+    NoticeRecorder m_notices;
     StageRunner m_stages;
     std::unique_ptr<StageRouter> m_router;
     EndpointSelector m_selector;
--- /dev/null
+++ b/src/gateway/notice_recorder.cc
@@ -0,0 +1,49 @@
+#include "gateway/notice_recorder.h"
+
+#include "base/log.h"
+
+namespace mimosahub
+{
+
+NoticeRecorder::NoticeRecorder(const Clock &clock, Random &random, MetricRegistry &metrics)
+    : m_clock(clock),
+      m_random(random),
+      m_leaving(metrics.counter("mimosahub_endpoint_notices_total", "What endpoints said of themselves in answers.",
+                                {{"notice", "leaving"}})),
+      m_rests(metrics.counter("mimosahub_endpoint_notices_total", "What endpoints said of themselves in answers.",
+                              {{"notice", "rest"}}))
+{
+}
+
+void NoticeRecorder::record(const ListedEndpoint &endpoint, const EndpointHead &head, std::string_view call)
+{
+    if (head.otherEndpoint) {
+        return; // It speaks of another one.
+    }
+    const auto now = m_clock.now();
+    const auto start = startOf(endpoint);
+    if (head.leaving && m_notices.recordLeaving(start, now)) {
+        m_leaving.add();
+        logEvent(LogLevel::Info, "endpoint-notice")
+            .with("endpoint", endpoint.info.id)
+            .with("service", endpoint.info.service)
+            .with("notice", "leaving")
+            .with("started_ms", endpoint.startedAtMs)
+            .with("call", call);
+        m_callbacks.onLeaving();
+    }
+    if (head.rest) {
+        const auto until = m_notices.recordRest(start, *head.rest, now, m_random);
+        m_rests.add();
+        logEvent(LogLevel::Info, "endpoint-notice")
+            .with("endpoint", endpoint.info.id)
+            .with("service", endpoint.info.service)
+            .with("notice", "rest")
+            .with("asked", *head.rest)
+            .with("for", Duration(until - now))
+            .with("call", call);
+        m_callbacks.onRest(start, until);
+    }
+}
+
+} // namespace mimosahub
--- a/src/gateway/request_stages.cc
+++ b/src/gateway/request_stages.cc
@@ -167,4 +167,13 @@
     return longest;
 }
 
+Duration RequestStages::longestRest() const
+{
+    Duration longest{};
+    for (const auto &stage : m_request.route.stages) {
+        longest = std::max<Duration>(longest, m_context.stages.load(stage.service).rest);
+    }
+    return longest;
+}
+
 } // namespace mimosahub
--- a/src/gateway/request_stages.h
+++ b/src/gateway/request_stages.h
@@ -76,6 +76,8 @@
     [[nodiscard]] std::string describeFailure() const;
     /// The estimated time for which a new piece waits, of the busiest service.
     [[nodiscard]] Duration longestWait() const;
+    /// The longest time until a stage's endpoints may be called, which have all asked for a rest.
+    [[nodiscard]] Duration longestRest() const;
 
 private:
     /// A stage whose results won't come.
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -95,11 +95,12 @@
 };
 
 StageRunner::StageRunner(boost::asio::io_context &io, const Clock &clock, const CallProtocol &protocol,
-                         http::ConnectionPool &pool, MetricRegistry &metrics)
+                         http::ConnectionPool &pool, NoticeRecorder &notices, MetricRegistry &metrics)
     : m_io(io),
       m_clock(clock),
       m_protocol(protocol),
       m_pool(pool),
+      m_notices(notices),
       m_calls(metrics.counter("mimosahub_stage_calls_total", "Calls of stages' endpoints.")),
       m_pieces(metrics.counter("mimosahub_stage_pieces_total", "Pieces in calls of stages' endpoints.")),
       m_failedCalls(metrics.counter("mimosahub_stage_calls_failed_total", "Calls of stages' endpoints that failed."))
@@ -146,6 +147,13 @@
     }
 }
 
+void StageRunner::recordRest(const EndpointStart &endpoint, TimePoint until)
+{
+    for (auto &[service, desk] : m_desks) {
+        desk->planner.recordRest(endpoint, until);
+    }
+}
+
 StageRunner::Desk *StageRunner::deskOf(const ServiceId &service)
 {
     const auto it = m_desks.find(service);
@@ -246,7 +254,7 @@
         m_pieces.add(call.pieces.size());
         http::spawn(m_io, run(service, std::move(call)));
     }
-    for (auto &release : desk.planner.takeReleases()) {
+    for (auto &release : desk.planner.takeReleases(m_clock.now())) {
         http::spawn(m_io, drop(service, std::move(release)));
     }
     logEndpointHealthChanges(desk.planner.takeHealthChanges());
@@ -328,12 +336,14 @@
         failed(service, call, failureOf(**connection, answer.status()), answer.status());
         co_return;
     }
-    m_pool.release(std::move(*connection));
-    const auto said = m_protocol.readHead(*answer);
-    if (said.notRun) {
+    const auto head = m_protocol.readHead(*answer);
+    m_notices.record(call.endpoint, head, "stage");
+    if (head.notRun) {
+        m_pool.release(std::move(*connection));
         failed(service, call, BatchFailure::NotRun, absl::OkStatus());
         co_return;
     }
+    m_pool.release(std::move(*connection));
     const auto results = m_protocol.readBatch(answer->body(), call.pieces.size());
     if (!results.ok()) {
         failed(service, call, BatchFailure::Lost, results.status());
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "gateway/call_protocol.h"
 #include "gateway/gateway_view.h"
+#include "gateway/notice_recorder.h"
 #include "gateway/stage_work.h"
 #include "http/connection_pool.h"
 #include "peer/stage_service.h"
@@ -23,13 +24,15 @@
 public:
     /// All arguments must outlive the runner.
     StageRunner(boost::asio::io_context &io, const Clock &clock, const CallProtocol &protocol,
-                http::ConnectionPool &pool, MetricRegistry &metrics);
+                http::ConnectionPool &pool, NoticeRecorder &notices, MetricRegistry &metrics);
     ~StageRunner() override;
 
     /// Plans nothing more; to be called before the io context ends.
     void stop();
     /// Takes the endpoints and the services' rules.
     void setView(const GatewayView &view);
+    /// \a endpoint gets nothing until \a until, since it wants a rest.
+    void recordRest(const EndpointStart &endpoint, TimePoint until);
 
     [[nodiscard]] std::unique_ptr<StageTicket> submit(const ServiceId &service, PieceOrder order, Done done) override;
     [[nodiscard]] BatchLoad load(const ServiceId &service) override;
@@ -73,6 +76,7 @@
     const Clock &m_clock;
     const CallProtocol &m_protocol;
     http::ConnectionPool &m_pool;
+    NoticeRecorder &m_notices;
     std::map<ServiceId, std::unique_ptr<Desk>> m_desks;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     Counter &m_calls;
