Believe a refusal only if it is surely the answer to this send

What callers saw: "not run, come back" (503) for bookings that an endpoint ran a moment later, and bookings that ran at two endpoints.

Cause: an endpoint that wrote an earlier refusal once more on a kept connection. A copy that names its request was passed over; one that names none was taken for the answer to the request that had just been sent there, which was then refused or sent to another endpoint while the first one ran it.

A refusal is believed if it names the request and no endpoint at that address has refused this request before, or if the connection had no call before it. Otherwise the answer counts as lost: the request may have run. Answers to batches name no request at all, so that a refused batch ends its connection, and no later batch can meet the copy, nor the answer that was due after it.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -542,8 +542,15 @@
             co_return report;
         }
     }
+    if (report.head.notRun && !isOwnRefusal(report.head, connection)) {
+        report.loss = SendLoss::BrokenOff;
+        report.why = absl::StrCat("a refusal with status ", report.head.status, " may be of an earlier call");
+        connection.close();
+        co_return report;
+    }
     m_context.notices.record(send.endpoint(), report.head, m_call.id.str());
     if (report.head.notRun) {
+        m_refusedAt.insert(connection.peer());
         const auto body = co_await connection.readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes);
         report.result = report.head.otherEndpoint ? SendResult::OtherEndpoint : SendResult::Refused;
         if (report.head.inputsGone) {
@@ -583,6 +590,12 @@
     co_return report;
 }
 
+bool ForwardedRequest::isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const
+{
+    const bool onlyCall = connection.calls() == 1;
+    return onlyCall || (head.request && !m_refusedAt.contains(connection.peer()));
+}
+
 void ForwardedRequest::noteFirstByte()
 {
     m_sends->recordAnswerBegun();
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -106,6 +106,9 @@
     /// under content that nobody has seen answered may say more of the content.
     [[nodiscard]] bool speaksOfVersion(const SendReport &report) const;
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
+    /// Whether \a head is surely the refusal of this send, and no copy of an earlier one that
+    /// the endpoint wrote on the same connection.
+    [[nodiscard]] bool isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const;
     /// False if the endpoint stayed silent and is given up.
     http::Awaitable<bool> awaitFirstByte(EndpointSend &send);
     /// Reads more of a stream; DeadlineExceeded if the endpoint stayed silent and is given up.
@@ -153,6 +156,7 @@
     std::optional<Duration> m_firstByte; ///< From the send to the answer or its first event.
     TimePoint m_sentAt;
     EndpointId m_endpoint; ///< Of the last send.
+    std::set<Address> m_refusedAt; ///< Where endpoints refused it.
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
     bool m_sending = false; ///< A send has begun whose end m_sends doesn't know yet.
     bool m_logged = false;
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -339,7 +339,8 @@
     const auto head = m_protocol.readHead(*answer);
     m_notices.record(call.endpoint, head, "stage");
     if (head.notRun) {
-        m_pool.release(std::move(*connection));
+        // Nothing in an answer names its call: a copy of the refusal would be taken for the next one's answer.
+        (*connection)->close();
         failed(service, call, BatchFailure::NotRun, absl::OkStatus());
         co_return;
     }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -117,6 +117,7 @@
 Awaitable<absl::Status> ClientConnection::send(Request &request, Duration timeout)
 {
     m_parser.reset();
+    ++m_calls;
     m_bytesLeft = true;
     request.version(11);
     request.keep_alive(true);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,6 +56,11 @@
     /// Closes at once.
     void close();
 
+    /// Calls that have begun on it.
+    [[nodiscard]] int calls() const
+    {
+        return m_calls;
+    }
     /// Whether a byte of the last call may have left.
     [[nodiscard]] bool bytesLeft() const
     {
@@ -87,6 +92,7 @@
     asio::steady_timer m_deadline; ///< Of the call, if there was one; its expiry is read and never waited for.
     beast::flat_buffer m_buffer;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
+    int m_calls = 0;
     bool m_bytesLeft = false;
     bool m_broken = false;
 };
