Tell other daemons of endpoints that are leaving

One daemon's answer is enough for all: each passes on to five others what is news to it, like news of quarantines. Otherwise each of 295 daemons would learn it by a request of its own, which the endpoint may have to cut.

--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -111,6 +111,11 @@
   quarantines @3 :List(Quarantine);
 }
 
+struct EndpointStart {
+  endpoint @0 :Text;
+  startedAtMs @1 :Int64;
+}
+
 interface StageProtocol {
   run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
@@ -118,4 +123,5 @@
   readTable @3 (table :UInt8, from :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord), documents :UInt64);
   reportSplit @4 (report :SplitReport) -> (known :Bool, phase :UInt8, reason :Text);
   exchangeQuarantines @5 (message :QuarantineMessage) -> (message :QuarantineMessage);
+  tellLeaving @6 (endpoints :List(EndpointStart)) -> ();
 }
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -50,6 +50,7 @@
         return router.status();
     }
     self->m_router = std::move(*router);
+    self->m_router->setNotices(self->m_notices);
     self->makeContext();
     auto server = http::Server::listen(*self->m_io, shared.settings.listen.callers, serverOptions({}),
                                        [self](http::Exchange &exchange) { return self->handle(exchange); });
@@ -86,7 +87,8 @@
                        [this](const EndpointStart &endpoint, TimePoint until) {
                            m_selector.recordRest(endpoint, until);
                            m_stages.recordRest(endpoint, until);
-                       }});
+                       },
+                       [this](const EndpointStart &endpoint) { m_router->spreadLeaving(endpoint, m_random); }});
 }
 
 void GatewayTraffic::makeContext()
--- a/src/gateway/notice_recorder.cc
+++ b/src/gateway/notice_recorder.cc
@@ -22,15 +22,8 @@
     }
     const auto now = m_clock.now();
     const auto start = startOf(endpoint);
-    if (head.leaving && m_notices.recordLeaving(start, now)) {
-        m_leaving.add();
-        logEvent(LogLevel::Info, "endpoint-notice")
-            .with("endpoint", endpoint.info.id)
-            .with("service", endpoint.info.service)
-            .with("notice", "leaving")
-            .with("started_ms", endpoint.startedAtMs)
-            .with("call", call);
-        m_callbacks.onLeaving();
+    if (head.leaving) {
+        recordLeaving(start, call);
     }
     if (head.rest) {
         const auto until = m_notices.recordRest(start, *head.rest, now, m_random);
@@ -46,4 +39,27 @@
     }
 }
 
+void NoticeRecorder::takeLeaving(const std::vector<EndpointStart> &endpoints)
+{
+    for (const auto &endpoint : endpoints) {
+        recordLeaving(endpoint, "peer");
+    }
+}
+
+// Each daemon passes on what is news to it, so that all know after a few hops.
+void NoticeRecorder::recordLeaving(const EndpointStart &endpoint, std::string_view source)
+{
+    if (!m_notices.recordLeaving(endpoint, m_clock.now())) {
+        return;
+    }
+    m_leaving.add();
+    logEvent(LogLevel::Info, "endpoint-notice")
+        .with("endpoint", endpoint.endpoint)
+        .with("notice", "leaving")
+        .with("started_ms", endpoint.startedAtMs)
+        .with("call", source);
+    m_callbacks.onLeaving();
+    m_callbacks.spreadLeaving(endpoint);
+}
+
 } // namespace mimosahub
--- a/src/gateway/notice_recorder.h
+++ b/src/gateway/notice_recorder.h
@@ -18,6 +18,7 @@
     struct Callbacks {
         std::function<void()> onLeaving; ///< The notices hold an endpoint that they didn't.
         std::function<void(const EndpointStart &endpoint, TimePoint until)> onRest; ///< It gets nothing until then.
+        std::function<void(const EndpointStart &endpoint)> spreadLeaving; ///< Tells other daemons.
     };
 
     /// All arguments must outlive this object.
@@ -30,12 +31,16 @@
     }
     /// Takes the notices in an answer of \a endpoint to \a call, a request's id or a path.
     void record(const ListedEndpoint &endpoint, const EndpointHead &head, std::string_view call);
+    /// Takes endpoints that are leaving, as another daemon tells.
+    void takeLeaving(const std::vector<EndpointStart> &endpoints);
     [[nodiscard]] EndpointNotices &notices()
     {
         return m_notices;
     }
 
 private:
+    void recordLeaving(const EndpointStart &endpoint, std::string_view source);
+
     const Clock &m_clock;
     Random &m_random;
     EndpointNotices m_notices;
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -8,6 +8,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace mimosahub
 {
 
@@ -16,6 +18,7 @@
 
 constexpr Duration kWatchInterval = std::chrono::milliseconds(100);
 constexpr Duration kResultSlack = std::chrono::milliseconds(200); ///< After an order expires, until its call fails.
+constexpr std::size_t kLeavingFanout = 5; ///< Daemons that are told of a leaving endpoint.
 constexpr int kMaxStarts = 4; ///< Of one order, with one daemon after the other.
 
 /// The daemon that it hashes to coordinates the rollouts of \a service.
@@ -383,6 +386,25 @@
     return m_quarantine == nullptr ? QuarantineMessage() : m_quarantine->takeMessage(message);
 }
 
+void StageRouter::spreadLeaving(const EndpointStart &endpoint, Random &random)
+{
+    auto peers = m_daemons.others();
+    std::shuffle(peers.begin(), peers.end(), random.engine());
+    peers.resize(std::min(peers.size(), kLeavingFanout));
+    for (const auto &peer : peers) {
+        if (const auto address = m_daemons.addressOf(peer)) {
+            m_service->tellLeaving(*address, {endpoint});
+        }
+    }
+}
+
+void StageRouter::takeLeaving(const std::vector<EndpointStart> &endpoints)
+{
+    if (m_notices != nullptr) {
+        m_notices->takeLeaving(endpoints);
+    }
+}
+
 std::optional<TableAnswer> StageRouter::readTable(StoreTable table, StoreOffset from)
 {
     return table == StoreTable::Endpoints ? m_endpointTable.answer(from, m_clock.now()) : std::nullopt;
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -4,6 +4,7 @@
 #include "follow/table_relay.h"
 #include "forward/daemon_directory.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/notice_recorder.h"
 #include "gateway/quarantine_director.h"
 #include "gateway/rollout_director.h"
 #include "gateway/stage_runner.h"
@@ -39,6 +40,13 @@
     {
         m_rollouts = &director;
     }
+    /// Hands what other daemons tell of leaving endpoints to \a notices, which must outlive the router.
+    void setNotices(NoticeRecorder &notices)
+    {
+        m_notices = &notices;
+    }
+    /// Tells a few other daemons that \a endpoint has said that it is leaving.
+    void spreadLeaving(const EndpointStart &endpoint, Random &random);
     /// Hands other daemons' messages on quarantines to \a director, which must outlive the router.
     void setQuarantine(QuarantineDirector &director)
     {
@@ -68,6 +76,7 @@
     std::optional<TableAnswer> readTable(StoreTable table, StoreOffset from) override;
     std::optional<SplitDecision> takeSplitReport(const SplitReport &report) override;
     QuarantineMessage takeQuarantines(const QuarantineMessage &message) override;
+    void takeLeaving(const std::vector<EndpointStart> &endpoints) override;
     void releaseRemote(const InstanceId &daemon, const Address &address, const ServiceId &service,
                        std::vector<ResultHandle> handles);
 
@@ -87,6 +96,7 @@
     TableRelay &m_endpointTable;
     RolloutDirector *m_rollouts = nullptr;
     QuarantineDirector *m_quarantine = nullptr;
+    NoticeRecorder *m_notices = nullptr;
     DaemonDirectory m_daemons;
     std::map<ServiceId, BatchLoad> m_loads; ///< As other daemons said.
     std::set<ServiceId> m_planned; ///< Services for which this daemon plans.
--- a/src/peer/stage_service.cc
+++ b/src/peer/stage_service.cc
@@ -7,6 +7,7 @@
 #include "peer/quarantine_codec.h"
 #include "peer/rpc_thread.h"
 #include "peer/stage_codec.h"
+#include "peer/wire_values.h"
 
 #include <utility>
 
@@ -121,6 +122,20 @@
             });
     }
 
+    kj::Promise<void> tellLeaving(TellLeavingContext context) override
+    {
+        std::vector<EndpointStart> endpoints;
+        for (const auto endpoint : context.getParams().getEndpoints()) {
+            endpoints.push_back({readId<EndpointId>(endpoint.getEndpoint()), endpoint.getStartedAtMs()});
+        }
+        m_executor([this, running = m_running, endpoints = std::move(endpoints)]() {
+            if (*running) {
+                m_handler.takeLeaving(endpoints);
+            }
+        });
+        return kj::READY_NOW;
+    }
+
 private:
     RpcExecutor m_executor;
     std::shared_ptr<bool> m_running; ///< Executor's thread only.
@@ -234,6 +249,21 @@
         m_thread.call<QuarantineMessage>(peer, send, std::move(done));
     }
 
+    void tellLeaving(const Address &peer, std::vector<EndpointStart> endpoints) override
+    {
+        const auto send = [endpoints = std::move(endpoints)](wire::StageProtocol::Client &protocol) {
+            auto call = protocol.tellLeavingRequest();
+            auto out = call.initEndpoints(static_cast<unsigned>(endpoints.size()));
+            for (unsigned i = 0; i < endpoints.size(); ++i) {
+                out[i].setEndpoint(endpoints[i].endpoint.str());
+                out[i].setStartedAtMs(endpoints[i].startedAtMs);
+            }
+            return call.send().then([](auto /*response*/) { return true; });
+        };
+        // No error handling: a daemon that isn't told learns it from the store or from the endpoint.
+        m_thread.call<bool>(peer, send, [](const absl::StatusOr<bool> & /*result*/) {});
+    }
+
     [[nodiscard]] Address address() const override
     {
         return m_thread.address();
--- a/src/peer/stage_service.h
+++ b/src/peer/stage_service.h
@@ -56,6 +56,8 @@
     virtual std::optional<SplitDecision> takeSplitReport(const SplitReport &report) = 0;
     /// Takes what a peer knows of quarantines; returns what this daemon knows.
     virtual QuarantineMessage takeQuarantines(const QuarantineMessage &message) = 0;
+    /// Takes endpoints that have said that they are leaving.
+    virtual void takeLeaving(const std::vector<EndpointStart> &endpoints) = 0;
 };
 
 /// Server and clients of the stage protocol.
@@ -92,6 +94,8 @@
     /// Tells \a peer what this daemon knows of quarantines; the result is what \a peer knows.
     virtual void exchangeQuarantines(const Address &peer, QuarantineMessage message,
                                      RpcCallback<QuarantineMessage> done) = 0;
+    /// Tells \a peer of endpoints that have said that they are leaving.
+    virtual void tellLeaving(const Address &peer, std::vector<EndpointStart> endpoints) = 0;
     /// Address on which the service listens, with the port chosen by the system.
     [[nodiscard]] virtual Address address() const = 0;
     /// Closes all connections and ends the thread.
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -132,7 +132,13 @@
         return {message.digest + 1, message.news};
     }
 
+    void takeLeaving(const std::vector<EndpointStart> &endpoints) override
+    {
+        leaving = endpoints;
+    }
+
     std::unique_ptr<StageService> service;
+    std::vector<EndpointStart> leaving;
     std::vector<SplitReport> reports;
     std::vector<QuarantineMessage> messages;
     std::vector<ServiceId> services;
@@ -211,6 +217,20 @@
     cr_assert(isNear(quarantine.since, now - 60s) && isNear(quarantine.changedAt, now - 4s));
 }
 
+Test(stage_service, a_leaving_endpoint_is_told_to_a_peer)
+{
+    Node daemon;
+    Node peer;
+    const std::vector<EndpointStart> leaving = {{EndpointId("e"), 1'700'000'000'123}};
+    daemon.onThread([&] { daemon.service->tellLeaving(peer.service->address(), leaving); });
+    bool told = false;
+    for (int n = 0; n < 100 && !told; ++n) {
+        std::this_thread::sleep_for(20ms);
+        peer.onThread([&] { told = peer.leaving == leaving; });
+    }
+    cr_assert(told);
+}
+
 Test(stage_service, a_rollout_report_reaches_the_coordinator_and_its_decision_returns)
 {
     Node daemon;
--- a/src/wire/stage.capnp.cc
+++ b/src/wire/stage.capnp.cc
@@ -1427,7 +1427,68 @@
   3, 4, i_f41c99246c8bce3b, nullptr, nullptr, { &s_f41c99246c8bce3b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<83> b_dc31c4e0e7d4eb1f = {
+static const ::capnp::_::AlignedData<50> b_be28f81bc2312dac = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    172,  45,  49, 194,  27, 248,  40, 190,
+     12,   0,   0,   0,   1,   0,   1,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 210,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  69, 110, 100, 112,
+    111, 105, 110, 116,  83, 116,  97, 114,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   0,   0,   0,   3,   0,   1,   0,
+     60,   0,   0,   0,   2,   0,   1,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 114, 116, 101, 100,  65,
+    116,  77, 115,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_be28f81bc2312dac = b_be28f81bc2312dac.words;
+#if !CAPNP_LITE
+static const uint16_t m_be28f81bc2312dac[] = {0, 1};
+static const uint16_t i_be28f81bc2312dac[] = {0, 1};
+const ::capnp::_::RawSchema s_be28f81bc2312dac = {
+  0xbe28f81bc2312dac, b_be28f81bc2312dac.words, 50, nullptr, m_be28f81bc2312dac,
+  0, 2, i_be28f81bc2312dac, nullptr, nullptr, { &s_be28f81bc2312dac, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<94> b_dc31c4e0e7d4eb1f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      31, 235, 212, 231, 224, 196,  49, 220,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -1437,63 +1498,71 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 135,   1,   0,   0,
-     29,   1,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 199,   1,   0,   0,
+     73,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116,  97, 103, 101,  46,  99,  97,
     112, 110, 112,  58,  83, 116,  97, 103,
     101,  80, 114, 111, 116, 111,  99, 111,
     108,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     192, 214, 220,  95,  47, 170,  70, 194,
     169, 210, 116, 237,  13, 147, 238, 217,
-    177,   0,   0,   0,  34,   0,   0,   0,
+    209,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      14,  96,  15, 189,  10, 230, 251, 183,
      71,  59,  94, 155, 142, 255,  97, 248,
-    153,   0,   0,   0,  66,   0,   0,   0,
+    185,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     178,   1,  74, 227, 193, 237,  99, 173,
      22, 102, 180, 126, 119,   1, 225, 128,
-    129,   0,   0,   0,  42,   0,   0,   0,
+    161,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     222, 104,  84, 153, 127,  25, 232, 235,
     134, 212, 151,  45,  27, 212, 223, 174,
-    105,   0,   0,   0,  82,   0,   0,   0,
+    137,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     253, 158, 148,  68, 174, 185,  64, 159,
     213, 106, 142, 140,  47,  68, 231, 148,
-     85,   0,   0,   0,  98,   0,   0,   0,
+    117,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     180, 144, 129, 235, 140,  48,  49, 174,
     117, 130,   8,  89, 141, 113, 237, 188,
-     65,   0,   0,   0, 162,   0,   0,   0,
+     97,   0,   0,   0, 162,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    255, 249, 115,  35,  25, 175, 176, 239,
+    237,  54, 140,   5,   8, 154,  89, 216,
+     81,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
+     73,   0,   0,   0,   7,   0,   0,   0,
     114, 117, 110,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 108, 101,  97, 115, 101,   0,
@@ -1510,6 +1579,9 @@
      81, 117,  97, 114,  97, 110, 116, 105,
     110, 101, 115,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    116, 101, 108, 108,  76, 101,  97, 118,
+    105, 110, 103,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_dc31c4e0e7d4eb1f = b_dc31c4e0e7d4eb1f.words;
@@ -1524,14 +1596,16 @@
   &s_b7fbe60abd0f600e,
   &s_bced718d59088275,
   &s_c246aa2f5fdcd6c0,
+  &s_d8599a08058c36ed,
   &s_d9ee930ded74d2a9,
   &s_ebe8197f995468de,
+  &s_efb0af192373f9ff,
   &s_f861ff8e9b5e3b47,
 };
-static const uint16_t m_dc31c4e0e7d4eb1f[] = {5, 2, 3, 1, 4, 0};
+static const uint16_t m_dc31c4e0e7d4eb1f[] = {5, 2, 3, 1, 4, 0, 6};
 const ::capnp::_::RawSchema s_dc31c4e0e7d4eb1f = {
-  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 83, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
-  12, 6, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
+  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 94, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
+  14, 7, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_c246aa2f5fdcd6c0 = {
@@ -2206,6 +2280,86 @@
   1, 1, i_bced718d59088275, nullptr, nullptr, { &s_bced718d59088275, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<39> b_efb0af192373f9ff = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    255, 249, 115,  35,  25, 175, 176, 239,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 106,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 116, 101, 108, 108,  76, 101,
+     97, 118, 105, 110, 103,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     40,   0,   0,   0,   2,   0,   1,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+    115,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    172,  45,  49, 194,  27, 248,  40, 190,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_efb0af192373f9ff = b_efb0af192373f9ff.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_efb0af192373f9ff[] = {
+  &s_be28f81bc2312dac,
+};
+static const uint16_t m_efb0af192373f9ff[] = {0};
+static const uint16_t i_efb0af192373f9ff[] = {0};
+const ::capnp::_::RawSchema s_efb0af192373f9ff = {
+  0xefb0af192373f9ff, b_efb0af192373f9ff.words, 39, d_efb0af192373f9ff, m_efb0af192373f9ff,
+  1, 1, i_efb0af192373f9ff, nullptr, nullptr, { &s_efb0af192373f9ff, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<18> b_d8599a08058c36ed = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    237,  54, 140,   5,   8, 154,  89, 216,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 116, 101, 108, 108,  76, 101,
+     97, 118, 105, 110, 103,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_d8599a08058c36ed = b_d8599a08058c36ed.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d8599a08058c36ed = {
+  0xd8599a08058c36ed, b_d8599a08058c36ed.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d8599a08058c36ed, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2310,6 +2464,14 @@
 constexpr ::capnp::_::RawSchema const* QuarantineMessage::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// EndpointStart
+constexpr uint16_t EndpointStart::_capnpPrivate::dataWordSize;
+constexpr uint16_t EndpointStart::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EndpointStart::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EndpointStart::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults>
 StageProtocol::Client::runRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -2371,6 +2533,16 @@
       "stage.capnp:StageProtocol", "exchangeQuarantines",
       0xdc31c4e0e7d4eb1full, 5);
 }
+::capnp::Request< ::mimosahub::wire::StageProtocol::TellLeavingParams,  ::mimosahub::wire::StageProtocol::TellLeavingResults>
+StageProtocol::Client::tellLeavingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mimosahub::wire::StageProtocol::TellLeavingParams,  ::mimosahub::wire::StageProtocol::TellLeavingResults>(
+      0xdc31c4e0e7d4eb1full, 6, sizeHint);
+}
+::kj::Promise<void> StageProtocol::Server::tellLeaving(TellLeavingContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "stage.capnp:StageProtocol", "tellLeaving",
+      0xdc31c4e0e7d4eb1full, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult StageProtocol::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2421,6 +2593,12 @@
              ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams,  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults>(context)),
         false
       };
+    case 6:
+      return {
+        tellLeaving(::capnp::Capability::Server::internalGetTypedContext<
+             ::mimosahub::wire::StageProtocol::TellLeavingParams,  ::mimosahub::wire::StageProtocol::TellLeavingResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2532,6 +2710,22 @@
 constexpr ::capnp::_::RawSchema const* StageProtocol::ExchangeQuarantinesResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// StageProtocol::TellLeavingParams
+constexpr uint16_t StageProtocol::TellLeavingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::TellLeavingParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::TellLeavingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::TellLeavingParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StageProtocol::TellLeavingResults
+constexpr uint16_t StageProtocol::TellLeavingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::TellLeavingResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::TellLeavingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::TellLeavingResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -31,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(db6a386159304cee);
 CAPNP_DECLARE_SCHEMA(857c8bc0dc55cb22);
 CAPNP_DECLARE_SCHEMA(f41c99246c8bce3b);
+CAPNP_DECLARE_SCHEMA(be28f81bc2312dac);
 CAPNP_DECLARE_SCHEMA(dc31c4e0e7d4eb1f);
 CAPNP_DECLARE_SCHEMA(c246aa2f5fdcd6c0);
 CAPNP_DECLARE_SCHEMA(d9ee930ded74d2a9);
@@ -44,6 +45,8 @@
 CAPNP_DECLARE_SCHEMA(94e7442f8c8e6ad5);
 CAPNP_DECLARE_SCHEMA(ae31308ceb8190b4);
 CAPNP_DECLARE_SCHEMA(bced718d59088275);
+CAPNP_DECLARE_SCHEMA(efb0af192373f9ff);
+CAPNP_DECLARE_SCHEMA(d8599a08058c36ed);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -231,6 +234,21 @@
   };
 };
 
+struct EndpointStart {
+  EndpointStart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be28f81bc2312dac, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StageProtocol {
   StageProtocol() = delete;
 
@@ -251,6 +269,8 @@
   struct ReportSplitResults;
   struct ExchangeQuarantinesParams;
   struct ExchangeQuarantinesResults;
+  struct TellLeavingParams;
+  struct TellLeavingResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -440,6 +460,36 @@
   };
 };
 
+struct StageProtocol::TellLeavingParams {
+  TellLeavingParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(efb0af192373f9ff, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StageProtocol::TellLeavingResults {
+  TellLeavingResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d8599a08058c36ed, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ZoneBytes::Reader {
@@ -1789,6 +1839,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class EndpointStart::Reader {
+public:
+  typedef EndpointStart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::int64_t getStartedAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointStart::Builder {
+public:
+  typedef EndpointStart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::int64_t getStartedAtMs();
+  inline void setStartedAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointStart::Pipeline {
+public:
+  typedef EndpointStart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class StageProtocol::Client
     : public virtual ::capnp::Capability::Client {
@@ -1820,6 +1956,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams,  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults> exchangeQuarantinesRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::TellLeavingParams,  ::mimosahub::wire::StageProtocol::TellLeavingResults> tellLeavingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1860,6 +1998,10 @@
   typedef  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults ExchangeQuarantinesResults;
   typedef ::capnp::CallContext<ExchangeQuarantinesParams, ExchangeQuarantinesResults> ExchangeQuarantinesContext;
   virtual ::kj::Promise<void> exchangeQuarantines(ExchangeQuarantinesContext context);
+  typedef  ::mimosahub::wire::StageProtocol::TellLeavingParams TellLeavingParams;
+  typedef  ::mimosahub::wire::StageProtocol::TellLeavingResults TellLeavingResults;
+  typedef ::capnp::CallContext<TellLeavingParams, TellLeavingResults> TellLeavingContext;
+  virtual ::kj::Promise<void> tellLeaving(TellLeavingContext context);
 
   inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2881,6 +3023,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class StageProtocol::TellLeavingParams::Reader {
+public:
+  typedef TellLeavingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::TellLeavingParams::Builder {
+public:
+  typedef TellLeavingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>> disownEndpoints();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::TellLeavingParams::Pipeline {
+public:
+  typedef TellLeavingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::TellLeavingResults::Reader {
+public:
+  typedef TellLeavingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::TellLeavingResults::Builder {
+public:
+  typedef TellLeavingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::TellLeavingResults::Pipeline {
+public:
+  typedef TellLeavingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool ZoneBytes::Reader::hasZone() const {
@@ -4457,6 +4751,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool EndpointStart::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointStart::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndpointStart::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndpointStart::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointStart::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndpointStart::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointStart::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndpointStart::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t EndpointStart::Reader::getStartedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EndpointStart::Builder::getStartedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointStart::Builder::setStartedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline StageProtocol::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -5001,6 +5343,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool StageProtocol::TellLeavingParams::Reader::hasEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageProtocol::TellLeavingParams::Builder::hasEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader StageProtocol::TellLeavingParams::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder StageProtocol::TellLeavingParams::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageProtocol::TellLeavingParams::Builder::setEndpoints( ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder StageProtocol::TellLeavingParams::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StageProtocol::TellLeavingParams::Builder::adoptEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>> StageProtocol::TellLeavingParams::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
