--- a/src/ctl/quarantine_commands.cc
+++ b/src/ctl/quarantine_commands.cc
@@ -60,8 +60,9 @@
         if (const auto *row = value.if_object()) {
             m_environment.out << text(*row, "service") << " " << text(*row, "part") << ": "
                               << (isActive(*row) ? "active" : "ended") << ", " << text(*row, "crashes") << " crashes, "
-                              << text(*row, "trials") << " trials, began " << text(*row, "age_s") << " s ago, " << text(*row, "kind")
-                              << (isAlone(*row) ? "" : " together with " + text(*row, "with")) << "\n";
+                              << text(*row, "trials") << " trials, began " << text(*row, "age_s") << " s ago, "
+                              << text(*row, "kind") << (isAlone(*row) ? "" : " together with " + text(*row, "with"))
+                              << "\n";
         }
     }
     return ExitCode::Done;
--- a/src/forward/content_id.cc
+++ b/src/forward/content_id.cc
@@ -37,8 +37,7 @@
     return it == kKindNames.end() ? ContentKind::SharedPart : static_cast<ContentKind>(it - kKindNames.begin());
 }
 
-std::vector<ContentId> contentIdsOf(const ServiceId &service, const std::vector<PromptPart> &prompt,
-                                    std::uint64_t hash)
+std::vector<ContentId> contentIdsOf(const ServiceId &service, const std::vector<PromptPart> &prompt, std::uint64_t hash)
 {
     std::vector<ContentId> ids;
     ids.reserve(prompt.size() + 1);
--- a/src/forward/content_quarantine.cc
+++ b/src/forward/content_quarantine.cc
@@ -94,9 +94,8 @@
 void ContentQuarantine::recordCrash(const EndpointStart &endpoint, std::vector<CrashedRequest> requests,
                                     TimePoint crashedAt)
 {
-    std::sort(requests.begin(), requests.end(), [](const auto &a, const auto &b) {
-        return std::tie(a.events, b.sentAt) < std::tie(b.events, a.sentAt);
-    });
+    std::sort(requests.begin(), requests.end(),
+              [](const auto &a, const auto &b) { return std::tie(a.events, b.sentAt) < std::tie(b.events, a.sentAt); });
     std::map<ContentId, LastRequest> last;
     std::vector<ContentId> order;
     for (const auto &request : requests) {
@@ -526,10 +525,10 @@
 {
     std::uint64_t digest = 0;
     for (const auto &[content, quarantine] : m_quarantines) {
-        digest ^= hashBytes(absl::StrCat(content.service.str(), " ", content.id, " ", std::string(contentKindName(content.kind)),
-                                         " ", absl::StrJoin(quarantine.with, ","), " ", quarantine.number, " ",
-                                         quarantine.ended ? 1 : 0, " ", quarantine.trials, " ",
-                                         quarantine.answeredBefore ? 1 : 0));
+        digest ^= hashBytes(
+            absl::StrCat(content.service.str(), " ", content.id, " ", std::string(contentKindName(content.kind)), " ",
+                         absl::StrJoin(quarantine.with, ","), " ", quarantine.number, " ", quarantine.ended ? 1 : 0,
+                         " ", quarantine.trials, " ", quarantine.answeredBefore ? 1 : 0));
     }
     return digest;
 }
--- a/src/forward/content_quarantine_test.cc
+++ b/src/forward/content_quarantine_test.cc
@@ -99,7 +99,8 @@
 Test(content_quarantine, of_another_service_the_same_part_is_not_quarantined)
 {
     const auto it = quarantining();
-    cr_expect(it.table.check(contents(kPoison, 0, ServiceId("other")), kStart + 10s).kind == QuarantineVerdict::Kind::Allowed);
+    cr_expect(it.table.check(contents(kPoison, 0, ServiceId("other")), kStart + 10s).kind
+              == QuarantineVerdict::Kind::Allowed);
 }
 
 // A route that moves to another service brings its poison requests along.
@@ -336,7 +337,8 @@
         }
         for (const auto &known : source.table.quarantines()) {
             const auto all = other.table.quarantines();
-            const auto it = std::find_if(all.begin(), all.end(), [&](const auto &q) { return q.content == known.content; });
+            const auto it =
+                std::find_if(all.begin(), all.end(), [&](const auto &q) { return q.content == known.content; });
             RC_ASSERT(it != all.end());
             RC_ASSERT(!known.supersedes(*it));
         }
--- a/src/forward/event_splitter_test.cc
+++ b/src/forward/event_splitter_test.cc
@@ -94,8 +94,8 @@
 // Bytes of another answer on the connection of a stream are no event.
 Test(event_splitter, an_answer_s_head_within_a_stream_is_not_passed_on)
 {
-    for (const auto *text : {"HTTP/1.1 500 x\r\nContent-Type: text/plain\r\n\r\n",
-                             "id: 3\nHTTP/1.0 503 Service Unavailable\r\n\r\n"}) {
+    for (const auto *text :
+         {"HTTP/1.1 500 x\r\nContent-Type: text/plain\r\n\r\n", "id: 3\nHTTP/1.0 503 Service Unavailable\r\n\r\n"}) {
         EventSplitter splitter;
         const auto events = splitter.take(std::string("id: 1\ndata: a\n\nid: 2\ndata: HTTP/1.1 in words\n\n") + text);
         cr_expect_eq(events, "id: 1\ndata: a\n\nid: 2\ndata: HTTP/1.1 in words\n\n");
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -124,7 +124,8 @@
     refusal.outcome = outcome();
     refusal.reason = Reason::EndpointLost;
     const auto &content = verdict.contents.front();
-    refusal.detail = absl::StrCat("endpoints crashed under ", std::string(contentKindName(content.kind)), " ", content.id);
+    refusal.detail =
+        absl::StrCat("endpoints crashed under ", std::string(contentKindName(content.kind)), " ", content.id);
     refusal.step = std::string(stepName(Step::Admit));
     if (refusal.outcome == Outcome::NotRun) { // Which the status of Quarantined says.
         refusal.reason = Reason::Quarantined;
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -93,10 +93,10 @@
 
 void GatewayTraffic::makeContext()
 {
-    m_context = std::make_unique<ForwardContext>(
-        ForwardContext{*m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector,
-                       m_notices, m_crashes, m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual,
-                       m_metrics, m_affinities, m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
+    m_context = std::make_unique<ForwardContext>(ForwardContext{
+        *m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector, m_notices, m_crashes,
+        m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics, m_affinities,
+        m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
 }
 
 GatewayTraffic::~GatewayTraffic()
@@ -232,9 +232,9 @@
 {
     m_router->setRollouts(m_rollouts);
     m_rollouts.connect(*m_router, {std::move(wantStatus), [this] {
-                           setStages(noticedView());
-                           applyRests();
-                       }});
+                                       setStages(noticedView());
+                                       applyRests();
+                                   }});
 }
 
 void GatewayTraffic::connectQuarantine(QuarantineStore store)
--- a/src/gateway/quarantine_director.cc
+++ b/src/gateway/quarantine_director.cc
@@ -146,8 +146,8 @@
     spread();
     const auto known = m_table.quarantines();
     for (const auto &stored : quarantines) {
-        const auto it =
-            std::find_if(known.begin(), known.end(), [&](const auto &other) { return other.content == stored.content; });
+        const auto it = std::find_if(known.begin(), known.end(),
+                                     [&](const auto &other) { return other.content == stored.content; });
         if (it != known.end() && it->supersedes(stored)) {
             m_callbacks.store(*it, /*own=*/false);
         }
--- a/src/gateway/quarantine_store_loop.cc
+++ b/src/gateway/quarantine_store_loop.cc
@@ -121,7 +121,8 @@
 http::Awaitable<void> QuarantineStoreLoop::write(ContentId content)
 {
     const auto document = writeQuarantineDocument(m_wanted.at(content).quarantine, m_clock);
-    const auto result = co_await m_store.append(StoreTable::Quarantines, quarantineKey(content), document, std::nullopt);
+    const auto result =
+        co_await m_store.append(StoreTable::Quarantines, quarantineKey(content), document, std::nullopt);
     logEvent(LogLevel::Info, "quarantine-stored")
         .with("service", content.service)
         .with("part", std::string_view(content.id))
