--- a/src/forward/content_quarantine_test.cc
+++ b/src/forward/content_quarantine_test.cc
@@ -24,6 +24,7 @@
 std::vector<ContentId> contents(const std::vector<std::string> &parts, int number, const ServiceId &service = kService)
 {
     std::vector<PromptPart> prompt;
+    prompt.reserve(parts.size() + 1);
     for (const auto &part : parts) {
         prompt.push_back({part, 100});
     }
@@ -504,6 +505,7 @@
     const auto deadly = contents({"system"}, 1);
     for (int n = 0; n < 3; ++n) {
         std::vector<CrashedRequest> requests;
+        requests.reserve(121);
         for (int i = 0; i < 120; ++i) {
             requests.push_back({contents({"system"}, 1000 + n * 200 + i), kStart + n * 1s, 5});
         }
--- a/src/gateway/quarantine_director_test.cc
+++ b/src/gateway/quarantine_director_test.cc
@@ -22,6 +22,7 @@
 {
     static std::uint64_t number = 0;
     std::vector<PromptPart> prompt;
+    prompt.reserve(parts.size() + 1);
     for (const auto &part : parts) {
         prompt.push_back({part, 100});
     }
