Drop quarantines from the store an hour after their end

Daemons take turns; a drop is on the condition that nothing was written that its daemon hasn't read, so that a quarantine that begins anew meanwhile stays.

--- a/src/gateway/quarantine_store_loop.cc
+++ b/src/gateway/quarantine_store_loop.cc
@@ -12,6 +12,8 @@
 #include "gateway/quarantine_document.h"
 #include "http/spawn.h"
 
+#include <algorithm>
+
 namespace mimosahub
 {
 
@@ -20,7 +22,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kIdle = 1h; ///< Until a wish wakes the loop.
+constexpr Duration kIdle = 10min; ///< Until the loop looks for what ended, if no wish wakes it.
+constexpr Duration kEndedLifetime = 1h; ///< For which the store keeps a quarantine that has ended.
 constexpr Duration kFirstDelay = 2s; ///< Until a daemon writes that hasn't changed the quarantine.
 constexpr Duration kDelayStep = 250ms; ///< Between the writes of two such daemons.
 constexpr Duration kRewriteDelay = 1s; ///< Until a write that the follower hasn't met is repeated.
@@ -73,6 +76,7 @@
     std::vector<Quarantine> stored;
     for (const auto &change : changes) {
         if (!change.value) {
+            std::erase_if(m_stored, [&](const auto &entry) { return quarantineKey(entry.first) == change.key; });
             continue;
         }
         const auto quarantine = readQuarantineDocument(change.key, *change.value, m_clock);
@@ -104,6 +108,10 @@
 http::Awaitable<void> QuarantineStoreLoop::loop()
 {
     while (!m_stopped) {
+        if (auto content = outdated()) {
+            co_await drop(std::move(*content));
+            continue;
+        }
         std::erase_if(m_wanted, [this](const auto &wanted) { return isStored(wanted.second.quarantine); });
         const auto next = std::min_element(m_wanted.begin(), m_wanted.end(), [](const auto &a, const auto &b) {
             return a.second.writeAt < b.second.writeAt;
@@ -118,6 +126,28 @@
     }
 }
 
+std::optional<ContentId> QuarantineStoreLoop::outdated() const
+{
+    const Duration age = kEndedLifetime + m_rank * kDelayStep; // One daemon after the other.
+    const auto it = std::find_if(m_stored.begin(), m_stored.end(), [&](const auto &entry) {
+        return entry.second.ended && m_clock.now() - entry.second.changedAt > age;
+    });
+    return it == m_stored.end() ? std::nullopt : std::optional(it->first);
+}
+
+// On the condition that nothing was written that this daemon hasn't read: the content may be
+// quarantined anew. Tried once; another daemon's turn comes later.
+http::Awaitable<void> QuarantineStoreLoop::drop(ContentId content)
+{
+    m_stored.erase(content);
+    const auto result =
+        co_await m_store.append(StoreTable::Quarantines, quarantineKey(content), std::nullopt, m_follower.next());
+    logEvent(LogLevel::Info, "quarantine-dropped")
+        .with("service", content.service)
+        .with("part", std::string_view(content.id))
+        .with("result", appendResultName(result));
+}
+
 http::Awaitable<void> QuarantineStoreLoop::write(ContentId content)
 {
     const auto document = writeQuarantineDocument(m_wanted.at(content).quarantine, m_clock);
--- a/src/gateway/quarantine_store_loop.h
+++ b/src/gateway/quarantine_store_loop.h
@@ -7,11 +7,13 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace mimosahub
 {
 
-/// Follows the quarantines in the store, and writes those that it lacks. Control thread only.
+/// Follows the quarantines in the store, writes those that it lacks, and drops those that ended
+/// long ago. Control thread only.
 class QuarantineStoreLoop
 {
 public:
@@ -52,7 +54,9 @@
     };
 
     [[nodiscard]] bool isStored(const Quarantine &quarantine) const;
+    [[nodiscard]] std::optional<ContentId> outdated() const;
     http::Awaitable<void> loop();
+    http::Awaitable<void> drop(ContentId content);
     http::Awaitable<void> write(ContentId content);
     http::Awaitable<void> writeClaim(Quarantine quarantine, std::function<void(bool)> onResult);
 
