Don't cancel the read that a restart brings forward

Cause, from the log of front-centurion-3: `documents-missing` each second from 17.3 to 27.3 s, the cut over at 24.5 s, the documents read at 28.3 s. KeyedFollower::restartRead() wakes the timer on which a read in flight is cancelled. If no read is in flight, since the follower waits after a failed one, the timer keeps the wake for its next sleep: the wait ends, and the read that it brings forward is cancelled at once, without a failure being counted. The next wait is up to 1.2 s long, and the next word of missing documents comes within it.

The timer is woken only while a read is in flight.

Evidence: keyed_follower/a_restart_during_the_wait_after_a_failure_brings_the_ next_read_forward, red before ("failed"), green after.

--- a/src/follow/keyed_follower.cc
+++ b/src/follow/keyed_follower.cc
@@ -88,6 +88,7 @@
         }
         co_return co_await readAllKeys();
     } catch (const std::exception &e) {
+        m_reading = false;
         if (!m_stopped) {
             m_complete = false;
             reportFailure(absl::InternalError(e.what()));
@@ -138,8 +139,10 @@
 
 http::Awaitable<bool> KeyedFollower::readNewRecords()
 {
+    m_reading = true;
     const auto ended = co_await (m_store.read(m_options.table, m_table.next(), m_options.wait)
                                  || m_restartTimer.sleep({}, std::nullopt, kMaxReadDuration));
+    m_reading = false;
     const auto *answer = std::get_if<KeyedReadResult>(&ended);
     if (m_stopped || answer == nullptr) {
         co_return false;
--- a/src/follow/keyed_follower.h
+++ b/src/follow/keyed_follower.h
@@ -48,12 +48,14 @@
 
     void start();
     void stop();
-    /// Cancels the read in flight, which may wait for a response that never comes, and
-    /// reads again at once.
+    /// Cancels the read in flight, which may wait for a response that never comes, or the wait
+    /// before the next one, and reads again at once.
     void restartRead()
     {
         m_timer.cancel();
-        m_restartTimer.wake();
+        if (m_reading) {
+            m_restartTimer.wake();
+        }
     }
     [[nodiscard]] StoreTable table() const
     {
@@ -86,6 +88,7 @@
     int m_failures = 0; ///< Consecutive failed reads.
     Duration m_nextReadDelay{}; ///< Delay before the next read.
     bool m_complete = false; ///< All keys were read and there has been no gap since.
+    bool m_reading = false; ///< A read of new records is in flight.
     bool m_stopped = false;
 };
 
--- a/src/follow/keyed_follower_test.cc
+++ b/src/follow/keyed_follower_test.cc
@@ -22,6 +22,7 @@
     std::deque<absl::StatusOr<KeyedPage>> pages;
     std::deque<KeyedReadResult> runs;
     bool hangs = false; ///< The next read gets no response.
+    Duration readTime{}; ///< Until a read gets its response.
     std::function<void()> onHang;
     std::vector<StoreOffset> readFrom;
     std::vector<std::string> pagesAfter; ///< The key that each page was read after.
@@ -41,6 +42,10 @@
             co_await http::sleepOn(never);
             co_return absl::CancelledError("cancelled");
         }
+        if (readTime > Duration::zero()) {
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, readTime);
+            co_await timer.async_wait(http::kTuple);
+        }
         co_return take(runs, KeyedReadResult(absl::UnavailableError("none")));
     }
     http::Awaitable<AppendResult> append(StoreTable, std::string, std::optional<std::string>,
@@ -243,3 +248,28 @@
         cr_assert(std::none_of(events.begin(), events.end(), lapses));
     }
 }
+
+// After a cut, word came each second that records were missing, and each time cancelled the read
+// that it had caused: the follower was as many seconds behind as its waits were long.
+Test(keyed_follower, a_restart_during_the_wait_after_a_failure_brings_the_next_read_forward)
+{
+    boost::asio::io_context io(1);
+    Random random(1);
+    ScriptedStore store;
+    store.pages = {page("a", "1", 3, 4)};
+    store.runs = {absl::UnavailableError("cut off"), KeyedRun{{{"a", "2", StoreOffset(4)}}, StoreOffset(5)}};
+    store.readTime = 5ms;
+    Recorder recorder;
+    KeyedFollowerOptions options;
+    options.backoff = {1h, 1.0, 1h, 0.0};
+    KeyedFollower follower(io, store, recorder, random, options);
+    store.onExhausted = [&] { follower.stop(); };
+    follower.start();
+    io.run_for(100ms);
+    cr_assert_eq(recorder.events.back(), "failed");
+    follower.restartRead();
+    io.run_for(100ms);
+    cr_expect_eq(recorder.events.back(), "changes: a=2", "%s", recorder.events.back().c_str());
+    follower.stop();
+    io.run_for(100ms);
+}
