Say 502 where a request may have run

What callers saw: 503, which promises "not run, and never will be", for requests whose answer had been lost, and for which no other endpoint could be found then. The body said "unknown". Found through cut_test beside a load average of 26 (outcome unknown, reason overloaded, status 503), then by reading.

Cause: the status followed from the reason alone.

httpStatus() gives 502 in place of 408, 421, 429 and 503 unless the outcome is that the request has not run.

Evidence: faulty_answers/a_request_that_lost_its_answer_is_not_said_to_have_ not_run, red before (503), green after; outcome_test.

--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -7,6 +7,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 
@@ -22,6 +23,9 @@
     int httpStatus;
 };
 
+constexpr std::array kNotRunStatuses = {408, 421, 429, 503}; ///< Callers take these for a promise: it has not run.
+constexpr int kBadGateway = 502;
+
 constexpr std::array kReasons = {
     ReasonRow{Reason::None, "none", 200},
     ReasonRow{Reason::BadRequest, "bad-request", 400},
@@ -90,7 +94,9 @@
 
 int httpStatus(const Refusal &refusal)
 {
-    return rowOf(refusal.reason).httpStatus;
+    const int status = rowOf(refusal.reason).httpStatus;
+    const bool promise = std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) != kNotRunStatuses.end();
+    return promise && refusal.outcome != Outcome::NotRun ? kBadGateway : status;
 }
 
 std::string refusalBody(const Refusal &refusal, std::string_view requestId)
