--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -26,7 +26,7 @@
     Endpoints, ///< One entry for each endpoint, written by the endpoint.
     Status, ///< Progress of orders, written by daemons.
     Daemons, ///< Addresses at which daemons reach each other; each writes its own.
-    Quarantines, ///< Parts of prompts that crash endpoints, written by daemons.
+    Quarantines, ///< Content of requests that crashes endpoints, written by daemons.
 };
 
 /// The name of \a table in log messages, such as "operator-documents".
