--- a/src/http/client_test.cc
+++ b/src/http/client_test.cc
@@ -212,7 +212,7 @@
 // A caller would take what came for the whole answer.
 Test(client, an_answer_that_ends_within_its_header_is_no_answer)
 {
-    const auto head = kHead + "X-Mimosahub-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n";
+    const auto head = kHead + "X-Stamp: s\r\nContent-Length: 2\r\n\r\n";
     for (const auto end : {Script::End::Closed, Script::End::Reset}) {
         for (std::size_t cut = 1; cut < head.size(); cut += cut + 4 < head.size() ? 4 : 1) {
             const auto call = endOfCall({.begin = head.substr(0, cut), .end = end});
