Keep the first content apart while the others are partitioned

The predicate read an element of the range that std::stable_partition moves. It worked, since the standard library leaves a matching first element in place; nothing says that it must. Found by reading the change.

--- a/src/forward/content_quarantine.cc
+++ b/src/forward/content_quarantine.cc
@@ -376,9 +376,9 @@
             return;
         }
         while (!reached.empty()) {
-            const auto others = std::stable_partition(reached.begin(), reached.end(), [&](const auto &content) {
-                return heldTogether(reached.front(), content);
-            });
+            const auto first = reached.front();
+            const auto others = std::stable_partition(
+                reached.begin(), reached.end(), [&](const auto &content) { return heldTogether(first, content); });
             beginMostSpecial({reached.begin(), others}, crashes, now);
             reached.erase(reached.begin(), others);
         }
