Keep nothing of what follows another answer's head in a stream

Callers saw nothing of it: a fault in memory only.

Cause: the check for such heads breaks out of the loop with the whole read still in the rest, and only an event over the limit was expected to leave so much there.

The rest is dropped now once the stream is known to be lost; its only reader asks for foreign() first. The fuzz target compares foreign() over all ways to cut the bytes as well, and requires that nothing is kept.

Evidence: nothing_is_kept_of_what_follows_an_answer_s_head fails on the code before (rest not empty), passes now.

--- a/src/forward/event_splitter.cc
+++ b/src/forward/event_splitter.cc
@@ -69,6 +69,12 @@
         begin = end;
     }
     std::string whole = m_rest.substr(0, begin);
+    if (m_foreign) {
+        // What follows isn't the stream's, however long: an endpoint may send it all in one read.
+        m_rest.clear();
+        m_searched = 0;
+        return whole;
+    }
     m_rest.erase(0, begin);
     m_searched -= begin;
     return whole;
--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -35,7 +35,7 @@
     {
         return m_foreign;
     }
-    /// The bytes of the last, incomplete event.
+    /// The bytes of the last, incomplete event; none once another answer's head has come.
     [[nodiscard]] const std::string &rest() const
     {
         return m_rest;
--- a/src/forward/event_splitter_fuzz.cc
+++ b/src/forward/event_splitter_fuzz.cc
@@ -1,6 +1,6 @@
 // libFuzzer entry point. Checks that an engine's bytes are split at the same events
-// however they come, that no byte is changed, and that an event over the limit ends
-// the stream.
+// however they come, that no byte is changed, and that an event over the limit or
+// another answer's head ends the stream.
 
 #include "forward/event_splitter.h"
 
@@ -22,6 +22,7 @@
     std::string lastId;
     std::size_t events = 0;
     bool tooLong = false;
+    bool foreign = false;
 
     bool operator==(const SplitResult &) const = default;
 };
@@ -45,6 +46,8 @@
     result.lastId = splitter.lastId();
     result.events = splitter.events();
     result.tooLong = splitter.tooLong();
+    result.foreign = splitter.foreign();
+    require(!result.foreign || splitter.rest().empty());
     require(result.tooLong || splitter.rest().size() <= kMaxEventBytes);
     return result;
 }
--- a/src/forward/event_splitter_test.cc
+++ b/src/forward/event_splitter_test.cc
@@ -105,3 +105,17 @@
         cr_expect(splitter.take("id: 4\ndata: b\n\n").empty());
     }
 }
+
+// Found by the fuzz target: all that came in the same read behind the head was kept.
+Test(event_splitter, nothing_is_kept_of_what_follows_an_answer_s_head)
+{
+    constexpr std::size_t kLimit = 64;
+    std::string bytes = "id: 1\ndata: a\n\nHTTP/1.1 500 x\r\n\r\n";
+    bytes.append(4 * kLimit, 'x');
+    EventSplitter splitter({}, kLimit);
+    cr_expect_eq(splitter.take(bytes), "id: 1\ndata: a\n\n");
+    cr_expect(splitter.foreign());
+    cr_expect(splitter.rest().empty());
+    cr_expect(splitter.take("data: b\n\n").empty());
+    cr_expect(splitter.rest().empty());
+}
