Take notices in answers to releases and memory questions too

What callers saw: an endpoint of stages that said "leaving" or asked for a rest only in its answer to a release or to the question for its memory went on to get batches from that daemon. And results that nobody here planned were dropped at makers that had asked for a rest.

Cause: only answers to batches were read for notices; the path for results of another daemon's planner (dropAtMaker) went past the planner, which holds releases back.

Evidence: a_stages_endpoint_that_says_so_beside_its_batches_gets_no_more and results_of_another_planner_are_left_at_an_endpoint_that_rests fail with the daemon and the runner of (batches after /report and after /stage-free; a connection during the rest) and pass now.

Why it works: both answers go to the same recorder, with the endpoint that is listed at the address. Results at a maker that rests expire there by themselves.

--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -10,6 +10,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace mimosahub
 {
 
@@ -47,7 +49,7 @@
         }
         desk->waiting.erase(m_id);
         desk->planner.cancel(m_id);
-        m_runner.release(*desk, m_handles);
+        m_runner.release(m_service, *desk, m_handles);
         m_runner.schedule(m_service);
     }
     Ticket(const Ticket &) = delete;
@@ -142,7 +144,8 @@
     }
     // Requests in flight and other daemons may still need a service that the configuration has lost.
     for (auto &[service, desk] : m_desks) {
-        desk->planner.setEndpoints(endpoints[service]);
+        desk->endpoints = std::move(endpoints[service]);
+        desk->planner.setEndpoints(desk->endpoints);
         schedule(service);
     }
 }
@@ -191,13 +194,14 @@
 void StageRunner::release(const ServiceId &service, const std::vector<ResultHandle> &handles)
 {
     if (auto *desk = deskOf(service)) {
-        release(*desk, handles);
+        release(service, *desk, handles);
         schedule(service);
     }
 }
 
-// Results of a planner that is gone are dropped at their makers without account.
-void StageRunner::release(Desk &desk, const std::vector<ResultHandle> &handles)
+// Results of a planner that is gone are dropped at their makers without account. Those of a
+// maker that rests are left there until they expire.
+void StageRunner::release(const ServiceId &service, Desk &desk, const std::vector<ResultHandle> &handles)
 {
     std::map<Address, std::vector<ResultHandle>> unknown;
     for (auto &handle : desk.planner.release(handles)) {
@@ -206,7 +210,34 @@
         }
     }
     for (auto &[maker, results] : unknown) {
-        http::spawn(m_io, dropAtMaker(maker, std::move(results)));
+        if (!rests(service, maker)) {
+            http::spawn(m_io, dropAtMaker(service, maker, std::move(results)));
+        }
+    }
+}
+
+std::optional<ListedEndpoint> StageRunner::listedAt(const ServiceId &service, const Address &address)
+{
+    const auto *desk = deskOf(service);
+    if (desk == nullptr) {
+        return std::nullopt;
+    }
+    const auto it = std::find_if(desk->endpoints.begin(), desk->endpoints.end(),
+                                 [&](const auto &endpoint) { return endpoint.info.address == address; });
+    return it == desk->endpoints.end() ? std::nullopt : std::optional(*it);
+}
+
+bool StageRunner::rests(const ServiceId &service, const Address &address)
+{
+    const auto endpoint = listedAt(service, address);
+    return endpoint && m_notices.notices().rests(m_clock.now()).contains(startOf(*endpoint));
+}
+
+void StageRunner::takeNotices(const ServiceId &service, const Address &address, const http::Response &answer,
+                              std::string_view call)
+{
+    if (const auto endpoint = listedAt(service, address)) {
+        m_notices.record(*endpoint, m_protocol.readHead(answer), call);
     }
 }
 
@@ -370,23 +401,28 @@
 
 http::Awaitable<void> StageRunner::drop(ServiceId service, ResultRelease release)
 {
-    co_await dropAtMaker(release.address, release.handles);
+    co_await dropAtMaker(service, release.address, release.handles);
     deskOf(service)->planner.releaseEnded(release);
     schedule(service);
 }
 
-http::Awaitable<void> StageRunner::dropAtMaker(Address maker, std::vector<ResultHandle> handles)
+http::Awaitable<void> StageRunner::dropAtMaker(ServiceId service, Address maker, std::vector<ResultHandle> handles)
 {
     const auto answer = co_await m_pool.call(maker, m_protocol.writeRelease(handles), kReleaseTimeout, kMaxShortAnswer);
     if (!answer.ok()) {
         logEvent(LogLevel::Debug, "release-failed").with(answer.status());
+        co_return;
     }
+    takeNotices(service, maker, *answer, "release");
 }
 
 http::Awaitable<void> StageRunner::ask(ServiceId service, MemoryQuery question)
 {
     const auto answer =
         co_await m_pool.call(question.address, m_protocol.writeMemoryQuestion(), kQuestionTimeout, kMaxShortAnswer);
+    if (answer.ok()) {
+        takeNotices(service, question.address, *answer, "memory");
+    }
     const auto free = answer.ok() ? m_protocol.readFreeMemory(answer->body()) : answer.status();
     if (!free.ok()) {
         logEvent(LogLevel::Debug, "memory-unknown").with("endpoint", question.endpoint).with(free.status());
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -51,6 +51,7 @@
         {
         }
         BatchPlanner planner;
+        std::vector<ListedEndpoint> endpoints; ///< Those of the service, as the planner has them.
         std::map<PieceOrderId, Done> waiting;
         std::map<BatchCallId, http::ClientConnection *> connections; ///< Of the calls in flight.
         std::optional<boost::asio::steady_timer> timer; ///< Absent once stopped.
@@ -67,9 +68,15 @@
     void armTimer(const ServiceId &service, Desk &desk);
     http::Awaitable<void> run(ServiceId service, BatchCall call);
     http::Awaitable<void> drop(ServiceId service, ResultRelease release);
-    http::Awaitable<void> dropAtMaker(Address maker, std::vector<ResultHandle> handles);
+    http::Awaitable<void> dropAtMaker(ServiceId service, Address maker, std::vector<ResultHandle> handles);
     http::Awaitable<void> ask(ServiceId service, MemoryQuery question);
-    void release(Desk &desk, const std::vector<ResultHandle> &handles);
+    void release(const ServiceId &service, Desk &desk, const std::vector<ResultHandle> &handles);
+    /// The endpoint of \a service at \a address, as listed; absent if there is none.
+    [[nodiscard]] std::optional<ListedEndpoint> listedAt(const ServiceId &service, const Address &address);
+    [[nodiscard]] bool rests(const ServiceId &service, const Address &address);
+    /// Takes what the endpoint at \a address says of itself in \a answer to \a call.
+    void takeNotices(const ServiceId &service, const Address &address, const http::Response &answer,
+                     std::string_view call);
     void failed(const ServiceId &service, const BatchCall &call, BatchFailure failure, const absl::Status &status);
 
     boost::asio::io_context &m_io;
