Check that an answer is whole or none wherever its connection ends

Random answers (interim heads, length or chunks, bytes behind them), cut at a random byte, closed or reset: 100 cases.

--- a/src/http/client_test.cc
+++ b/src/http/client_test.cc
@@ -8,6 +8,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <rapidcheck.h>
+
+#include <absl/strings/str_cat.h>
+
 #include <criterion/criterion.h>
 
 using namespace mimosahub;
@@ -115,6 +119,16 @@
 const std::string kHead = "HTTP/1.1 200 OK\r\n";
 const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
 
+std::string chunked(const std::string &body, std::size_t piece)
+{
+    std::string bytes = kChunkedHead;
+    for (std::size_t at = 0; at < body.size(); at += piece) {
+        const auto data = body.substr(at, piece);
+        absl::StrAppend(&bytes, absl::Hex(data.size()), "\r\n", data, "\r\n");
+    }
+    return bytes + "0\r\n\r\n";
+}
+
 } // namespace
 
 Test(client, ends_a_call_whose_answer_has_no_end)
@@ -222,3 +236,29 @@
         }
     }
 }
+
+// Whatever a server sends before it closes or resets, and wherever that is: a call ends with the
+// whole answer or with none, and what follows the answer is part of no answer.
+Test(client, an_answer_is_whole_or_none_wherever_the_connection_ends)
+{
+    const bool held = rc::check("whole or none", [] {
+        const auto body = *rc::gen::container<std::string>(rc::gen::inRange('a', 'e'));
+        const auto interim = *rc::gen::element<std::string>("", "HTTP/1.1 103 x\r\nLink: y\r\n\r\n");
+        const bool inChunks = *rc::gen::arbitrary<bool>();
+        const auto whole = interim
+            + (inChunks ? chunked(body, *rc::gen::inRange<std::size_t>(1, 8))
+                        : absl::StrCat(kHead, "Content-Length: ", body.size(), "\r\n\r\n", body));
+        const auto more = *rc::gen::element<std::string>("", "x", kHead + "Content-Length: 1\r\n\r\nx");
+        const auto bytes = whole + more;
+        const auto sent = *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
+        const auto end = *rc::gen::element(Script::End::Closed, Script::End::Reset);
+        const auto call = endOfCall({.begin = bytes.substr(0, sent), .end = end});
+        RC_ASSERT(call.ended);
+        RC_ASSERT(call.answer.ok() == (sent >= whole.size()));
+        if (call.answer.ok()) {
+            RC_ASSERT(call.answer->body() == body);
+            RC_ASSERT(call.reusable == (sent == whole.size()));
+        }
+    });
+    cr_assert(held);
+}
