End a rollout's phase only on reports from within it

What callers saw: with a rollout of 5 s and its only daemon cut off at 3.0 s, the new version, bad from 2.1 s on, ended as completed: all requests would go to it once the daemon is back.

Cause: a report counts as news for two seconds, and the load test, the move and the completion of a short rollout all fit into that time, so that they passed on one report from before the first of them.

Why it works: load test and move end only once half of the daemons have reported since they began; else the deadline rolls back for lack of evidence.

--- a/src/forward/split_judge.cc
+++ b/src/forward/split_judge.cc
@@ -1,7 +1,8 @@
 // The target gets a small share for most of the time, so that a fault that comes late is
 // found while few callers meet it. Then all requests go there as far as the exposure
 // limit allows, which shows a version that is faulty under load; and only after that
-// without a limit, for the old endpoints' last answers.
+// without a limit, for the old endpoints' last answers. A phase has shown nothing until
+// half of the daemons have reported since it began: reports from before it end no phase.
 //
 // Reports hold totals, so that a coordinator that takes over has all counts with the
 // next report of each daemon. Time is that since the order was read, by the daemon that
@@ -102,7 +103,15 @@
     if (report.phase == SplitPhase::Completed && !isSettled(m_decision.phase)) {
         settle(SplitPhase::Completed, "another coordinator has completed it");
     } else if (!isSettled(m_decision.phase) && !isSettled(report.phase)) {
-        m_decision.phase = std::max(m_decision.phase, report.phase);
+        enter(std::max(m_decision.phase, report.phase), now);
+    }
+}
+
+void SplitJudge::enter(SplitPhase phase, TimePoint now)
+{
+    if (phase != m_decision.phase) {
+        m_decision.phase = phase;
+        m_phaseBegan = now;
     }
 }
 
@@ -135,10 +144,10 @@
     return longest;
 }
 
-bool SplitJudge::heardMost(int daemons, TimePoint now) const
+bool SplitJudge::heardMost(int daemons, TimePoint since) const
 {
     const auto heard = std::count_if(m_sources.begin(), m_sources.end(),
-                                     [now](const auto &item) { return now - item.second.receivedAt <= kNewsAge; });
+                                     [since](const auto &item) { return item.second.receivedAt > since; });
     return 2 * heard >= daemons;
 }
 
@@ -189,20 +198,22 @@
     if (isSettled(m_decision.phase)) {
         return m_decision;
     }
-    if (heardMost(daemons, now)) {
-        follow(elapsed(now));
+    if (heardMost(daemons, now - kNewsAge)) {
+        follow(daemons, now);
     } else {
-        m_decision.phase = elapsed(now) < m_duration ? SplitPhase::Trial : SplitPhase::Paused;
+        enter(elapsed(now) < m_duration ? SplitPhase::Trial : SplitPhase::Paused, now);
     }
     return m_decision;
 }
 
 // One phase at a time: a coordinator that takes over late tests under load too.
-void SplitJudge::follow(Duration elapsed)
+void SplitJudge::follow(int daemons, TimePoint now)
 {
     const bool sound = looksSound();
+    const bool phaseShown = heardMost(daemons, m_phaseBegan);
+    const auto elapsed = this->elapsed(now);
     const auto outcomes = sum().to;
-    if (m_decision.phase == SplitPhase::Moving && sound && elapsed >= m_schedule.completion) {
+    if (m_decision.phase == SplitPhase::Moving && sound && phaseShown && elapsed >= m_schedule.completion) {
         settle(SplitPhase::Completed,
                absl::StrCat("no fault in ", outcomes.finished, " outcomes, of which ", outcomes.failed, " failed and ",
                             outcomes.slow, " were slow"));
@@ -211,11 +222,11 @@
                absl::StrCat("too little is known by the deadline: ", outcomes.finished, " outcomes, of which ",
                             outcomes.failed, " failed and ", outcomes.slow, " were slow"));
     } else if (!sound) {
-        m_decision.phase = SplitPhase::Trial;
-    } else if (m_decision.phase == SplitPhase::LoadTest && elapsed >= m_schedule.moving) {
-        m_decision.phase = SplitPhase::Moving;
+        enter(SplitPhase::Trial, now);
+    } else if (m_decision.phase == SplitPhase::LoadTest && phaseShown && elapsed >= m_schedule.moving) {
+        enter(SplitPhase::Moving, now);
     } else if (m_decision.phase < SplitPhase::LoadTest) {
-        m_decision.phase = elapsed >= m_schedule.loadTest ? SplitPhase::LoadTest : SplitPhase::Trial;
+        enter(elapsed >= m_schedule.loadTest ? SplitPhase::LoadTest : SplitPhase::Trial, now);
     }
 }
 
--- a/src/forward/split_judge.h
+++ b/src/forward/split_judge.h
@@ -65,10 +65,12 @@
     [[nodiscard]] static Schedule scheduleOf(Duration duration);
     [[nodiscard]] RolloutCounts total() const;
     [[nodiscard]] Duration elapsed(TimePoint now) const;
-    [[nodiscard]] bool heardMost(int daemons, TimePoint now) const;
+    /// Whether half of \a daemons have reported after \a since.
+    [[nodiscard]] bool heardMost(int daemons, TimePoint since) const;
     [[nodiscard]] bool looksSound() const;
     void findFault(TimePoint now);
-    void follow(Duration elapsed);
+    void follow(int daemons, TimePoint now);
+    void enter(SplitPhase phase, TimePoint now);
     void settle(SplitPhase phase, std::string reason);
 
     Schedule m_schedule;
@@ -76,6 +78,7 @@
     std::map<std::string, Source> m_sources; ///< By daemon and incarnation.
     RolloutEvidence m_evidence;
     std::optional<TimePoint> m_begin; ///< Of the evidence.
+    TimePoint m_phaseBegan; ///< When the decision's phase became what it is.
     SplitDecision m_decision;
 };
 
--- a/src/forward/split_judge_test.cc
+++ b/src/forward/split_judge_test.cc
@@ -242,6 +242,34 @@
     }));
 }
 
+// The example that the property above found: the short rollout's last phases passed within the
+// age of the last report.
+Test(split_judge, phases_of_which_nothing_was_reported_complete_nothing)
+{
+    Scenario scenario;
+    scenario.daemons = 1;
+    scenario.perSecond = 175.0;
+    scenario.duration = 5s;
+    scenario.target = [](int, Duration elapsed, double) { return Rates{0.005, elapsed < 2121ms ? 0.03 : 0.6}; };
+    scenario.cutOff = [](int, Duration elapsed) { return elapsed >= 3001ms; };
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        const auto ending = play(scenario, seed);
+        cr_expect(ending.phase != SplitPhase::Completed, "seed %d: %s", static_cast<int>(seed), ending.reason.c_str());
+        cr_expect(ending.withinExposure(), "seed %d", static_cast<int>(seed));
+    }
+}
+
+Test(split_judge, short_rollouts_of_sound_versions_are_completed)
+{
+    Scenario scenario;
+    scenario.duration = 5s;
+    scenario.perSecond = 300.0;
+    scenario.target = [](int, Duration, double) { return Rates{0.005, 0.03}; };
+    expectAll(scenario, SplitPhase::Completed);
+    scenario.daemons = 70;
+    expectAll(scenario, SplitPhase::Completed);
+}
+
 Test(split_judge, a_coordinator_that_takes_over_has_all_counts_with_the_next_reports)
 {
     SplitReport report{kRollout, InstanceId("a"), 1, 6s, SplitPhase::Trial, "", {}};
