Believe no refusal that names no request

What callers saw: a booking that ran was answered 503 (not run), or ran at a second endpoint as well.

Cause: a refusal without the request's id was believed if it was the first answer on its connection. Endpoints name the request in each answer, so that one without is no sound answer, whatever came before it there.

Why it works: such an answer counts as an answer that was lost, which promises nothing: bookings end with 502, requests that may run twice go elsewhere.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -595,7 +595,7 @@
 bool ForwardedRequest::isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const
 {
     const bool onlyCall = connection.calls() == 1;
-    return onlyCall || (head.request && !m_refusedAt.contains(connection.peer()));
+    return head.request && (onlyCall || !m_refusedAt.contains(connection.peer()));
 }
 
 void ForwardedRequest::noteFirstByte()
