Apply an endpoint's rest in one place

A new rest and the rests that are applied again with each view told the selector and the stages in the same two lines each. No behaviour changes.

--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -84,10 +84,7 @@
 {
     // Applied in a turn of its own: the answer that brought the notice is still being read.
     m_notices.connect({[this] { boost::asio::post(*m_io, [this] { takeView(); }); },
-                       [this](const EndpointStart &endpoint, TimePoint until) {
-                           m_selector.recordRest(endpoint, until);
-                           m_stages.recordRest(endpoint, until);
-                       },
+                       [this](const EndpointStart &endpoint, TimePoint until) { applyRest(endpoint, until); },
                        [this](const EndpointStart &endpoint) { m_router->spreadLeaving(endpoint, m_random); }});
 }
 
@@ -200,11 +197,16 @@
 void GatewayTraffic::applyRests()
 {
     for (const auto &[endpoint, until] : m_notices.notices().rests(m_shared.clock.now())) {
-        m_selector.recordRest(endpoint, until);
-        m_stages.recordRest(endpoint, until);
+        applyRest(endpoint, until);
     }
 }
 
+void GatewayTraffic::applyRest(const EndpointStart &endpoint, TimePoint until)
+{
+    m_selector.recordRest(endpoint, until);
+    m_stages.recordRest(endpoint, until);
+}
+
 void GatewayTraffic::boundSecondSends(std::size_t daemons)
 {
     m_context->secondSendOptions = secondSendOptions(m_secondSendSettings, daemons);
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -79,6 +79,8 @@
     /// The view with what its endpoints have said of themselves since.
     [[nodiscard]] GatewayView noticedView();
     void applyRests();
+    /// Tells all that choose endpoints that \a endpoint gets nothing until \a until.
+    void applyRest(const EndpointStart &endpoint, TimePoint until);
     void boundSecondSends(std::size_t daemons);
     void setStages(const GatewayView &view);
 
