--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -129,7 +129,7 @@
     std::atomic<int> served{0};
     std::atomic<int> falsePromises{0};
     std::atomic<int> twice{0};
-    std::vector<std::thread> clients;
+    std::list<std::thread> clients;
     const auto end = Clock::now() + kLength;
     for (int i = 0; i < kClients; ++i) {
         clients.emplace_back([&, i] {
--- a/review/rig.cc
+++ b/review/rig.cc
@@ -132,6 +132,15 @@
     return holds();
 }
 
+std::string concat(std::initializer_list<std::string_view> parts)
+{
+    std::string whole;
+    for (const auto part : parts) {
+        whole += part;
+    }
+    return whole;
+}
+
 void record(const std::string &line)
 {
     static std::mutex mutex;
@@ -197,7 +206,7 @@
 {
     auto text = "HTTP/1.1 " + std::to_string(status) + " x\r\n";
     for (const auto &[name, value] : fields) {
-        text += name + ": " + value + "\r\n";
+        text += concat({name, ": ", value, "\r\n"});
     }
     return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -206,7 +215,7 @@
 {
     auto text = "HTTP/1.1 " + std::to_string(status) + " x\r\n";
     for (const auto &[name, value] : fields) {
-        text += name + ": " + value + "\r\n";
+        text += concat({name, ": ", value, "\r\n"});
     }
     return text + "Transfer-Encoding: chunked\r\n\r\n";
 }
--- a/review/rig.h
+++ b/review/rig.h
@@ -7,12 +7,14 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -35,6 +37,9 @@
 /// Waits until \a holds gives true; false after \a longest.
 [[nodiscard]] bool eventually(const std::function<bool()> &holds, Milliseconds longest);
 
+/// All of \a parts, one after the other.
+[[nodiscard]] std::string concat(std::initializer_list<std::string_view> parts);
+
 /// Lines with the time since the start, in the file that the variable RECORD names.
 void record(const std::string &line);
 
