--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,4 +1,4 @@
-// One of three booking servers fails part of the bookings that it has run, with status 503 and
+// One of seven booking servers fails part of the bookings that it has run, with status 503 and
 // its stamp. A requester takes 503 for the promise that its booking has not run, and books again.
 
 #include "review/rig.h"
@@ -11,7 +11,7 @@
 {
 
 constexpr Milliseconds kWorkTime{15};
-constexpr int kServers = 3; ///< The first one is the faulty one.
+constexpr int kServers = 7; ///< The first one is the faulty one.
 constexpr int kFailedOfTen = 4; ///< Of the faulty server's bookings.
 constexpr int kClients = 3;
 constexpr auto kLength = std::chrono::seconds(20);
