Answer 502 where an endpoint's status would say "not run" of what may have run

Callers saw: a booking ran, its endpoint failed it with 503, and the daemon passed the 503 on.

Cause: refusals of our own get such a status only with the outcome "not-run"; an endpoint's answer was passed on with its status, whatever was known of the request.

Fix: a certified answer with such a status that doesn't say that the request was not run ends its send as UnprovenRefusal. One function, promisesNotRun(), now tells such statuses for refusals and for answers. A log line and a counter name the endpoints that answer so.

--- a/include/mimosahub/outcome.h
+++ b/include/mimosahub/outcome.h
@@ -69,7 +69,11 @@
 /// A refusal at \a step of a call that has not run.
 [[nodiscard]] Refusal makeRefusal(Reason reason, std::string detail, Step step,
                                   std::optional<Duration> retryAfter = std::nullopt);
-/// The HTTP status of \a refusal.
+/// Whether callers take an HTTP \a status for the promise that their request has not run
+/// and never will.
+[[nodiscard]] bool promisesNotRun(int status);
+/// The HTTP status of \a refusal; one that promises that the request has not run only if
+/// its outcome says so.
 [[nodiscard]] int httpStatus(const Refusal &refusal);
 /// The JSON body of \a refusal, as documented for callers.
 [[nodiscard]] std::string refusalBody(const Refusal &refusal, std::string_view requestId);
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -23,7 +23,7 @@
     int httpStatus;
 };
 
-constexpr std::array kNotRunStatuses = {408, 421, 429, 503}; ///< Callers take these for a promise: it has not run.
+constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 constexpr int kBadGateway = 502;
 
 constexpr std::array kReasons = {
@@ -92,11 +92,15 @@
     return refusal;
 }
 
+bool promisesNotRun(int status)
+{
+    return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) != kNotRunStatuses.end();
+}
+
 int httpStatus(const Refusal &refusal)
 {
     const int status = rowOf(refusal.reason).httpStatus;
-    const bool promise = std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) != kNotRunStatuses.end();
-    return promise && refusal.outcome != Outcome::NotRun ? kBadGateway : status;
+    return promisesNotRun(status) && refusal.outcome != Outcome::NotRun ? kBadGateway : status;
 }
 
 std::string refusalBody(const Refusal &refusal, std::string_view requestId)
--- a/src/forward/send_policy.cc
+++ b/src/forward/send_policy.cc
@@ -33,6 +33,7 @@
         return more ? NextStep::SendAgain : NextStep::GiveUp;
     case SendResult::InputsGone:
         return more && ++m_preparations < kMaxPreparations ? NextStep::PrepareAgain : NextStep::GiveUp;
+    case SendResult::UnprovenRefusal:
     case SendResult::Lost:
         m_mayHaveRun = true;
         return m_limits.repeatable && more ? NextStep::SendAgain : NextStep::GiveUp;
--- a/src/forward/send_policy.h
+++ b/src/forward/send_policy.h
@@ -17,6 +17,9 @@
     OtherEndpoint, ///< Another endpoint has the address; the request did not run.
     Refused, ///< The endpoint did not run the request.
     InputsGone, ///< The endpoint did not run the request: a result that it was to fetch is gone.
+    /// The response has a status that promises callers that the request did not run, but does
+    /// not say so itself: the request may have run, and the status must not reach the caller.
+    UnprovenRefusal,
     Lost, ///< The response was cut off, was invalid or never arrived: the request may have run.
 };
 
--- a/src/forward/send_policy_test.cc
+++ b/src/forward/send_policy_test.cc
@@ -9,13 +9,14 @@
 namespace
 {
 
-constexpr std::array kResults = {SendResult::Answered,      SendResult::ServerError, SendResult::Unreachable,
-                                 SendResult::OtherEndpoint, SendResult::Refused,     SendResult::InputsGone,
-                                 SendResult::Lost};
+constexpr std::array kResults = {SendResult::Answered,        SendResult::ServerError, SendResult::Unreachable,
+                                 SendResult::OtherEndpoint,   SendResult::Refused,     SendResult::InputsGone,
+                                 SendResult::UnprovenRefusal, SendResult::Lost};
 
 bool ran(SendResult result)
 {
-    return result == SendResult::Answered || result == SendResult::ServerError || result == SendResult::Lost;
+    return result == SendResult::Answered || result == SendResult::ServerError || result == SendResult::UnprovenRefusal
+        || result == SendResult::Lost;
 }
 
 } // namespace
--- a/src/gateway/forward_metrics.cc
+++ b/src/gateway/forward_metrics.cc
@@ -67,6 +67,16 @@
         .add();
 }
 
+void ForwardMetrics::recordUnprovenRefusal(int status)
+{
+    m_registry
+        .counter("mimosahub_unproven_refusals_total",
+                 "Answers of endpoints whose status promises that the request has not run, without the header that "
+                 "says so; callers get 502.",
+                 {{"status", std::to_string(status)}})
+        .add();
+}
+
 ForwardMetrics::RouteMetrics &ForwardMetrics::ofRoute(const RouteId &route)
 {
     const auto label = labelOf(m_routes, route.str(), kMostRoutes);
--- a/src/gateway/forward_metrics.h
+++ b/src/gateway/forward_metrics.h
@@ -39,6 +39,9 @@
     void recordSilence(RetryObstacle obstacle);
     /// A stream was cut at its caller after it had begun. \a obstacle: to sending the request again.
     void recordStreamCut(SendLoss loss, RetryObstacle obstacle);
+    /// An endpoint answered with \a status, which promises callers that the request has not run,
+    /// without saying so itself.
+    void recordUnprovenRefusal(int status);
 
 private:
     struct RouteMetrics {
--- a/src/gateway/forward_metrics_test.cc
+++ b/src/gateway/forward_metrics_test.cc
@@ -50,6 +50,19 @@
               != std::string::npos);
 }
 
+Test(forward_metrics, counts_unproven_refusals_by_status)
+{
+    MetricRegistry registry;
+    ForwardMetrics metrics(registry);
+    metrics.recordUnprovenRefusal(503);
+    metrics.recordUnprovenRefusal(503);
+    metrics.recordUnprovenRefusal(429);
+    const auto page = registry.render();
+    cr_assert(page.find("mimosahub_unproven_refusals_total{status=\"503\"} 2") != std::string::npos, "%s",
+              page.c_str());
+    cr_assert(page.find("mimosahub_unproven_refusals_total{status=\"429\"} 1") != std::string::npos);
+}
+
 // Thousands of routes and workspaces make neither the page nor the memory grow.
 Test(forward_metrics, stays_bounded_with_thousands_of_routes_and_workspaces)
 {
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -396,11 +396,19 @@
         refusal.reason = m_context.stop.refusing ? Reason::Draining : Reason::Overloaded;
         refusal.retryAfter = m_context.selector.restOf(m_service, m_context.clock.now()).value_or(kRetryAfter);
     } else {
-        refusal.reason = left() < RequestSends::kMinSendTime ? Reason::DeadlinePassed : Reason::EndpointLost;
+        refusal.reason = reasonAfter(report);
     }
     return refusal;
 }
 
+Reason ForwardedRequest::reasonAfter(const SendReport &report) const
+{
+    if (left() < RequestSends::kMinSendTime) {
+        return Reason::DeadlinePassed;
+    }
+    return report.result == SendResult::UnprovenRefusal ? Reason::EndpointFailed : Reason::EndpointLost;
+}
+
 Refusal ForwardedRequest::refusalAfterException(std::string problem) const
 {
     const auto known = m_sending ? Outcome::Unknown : outcome();
@@ -478,6 +486,7 @@
         send->end(SendEnd::Answered, latencyRatio);
         break;
     case SendResult::ServerError:
+    case SendResult::UnprovenRefusal:
         send->end(SendEnd::ServerError, std::nullopt);
         break;
     case SendResult::Lost:
@@ -566,6 +575,9 @@
         connection.close();
         co_return report;
     }
+    if (promisesNotRun(report.head.status)) {
+        co_return co_await withhold(send, std::move(report));
+    }
     const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
     if (m_streamBegun && !(events && isSuccess(report.head.status))) {
         const bool serverError = report.head.status >= kFirstErrorStatus;
@@ -592,6 +604,20 @@
     co_return report;
 }
 
+http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::withhold(EndpointSend &send, SendReport report)
+{
+    static_cast<void>(co_await send.connection().readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes));
+    report.result = SendResult::UnprovenRefusal;
+    report.why = absl::StrCat("the endpoint answered with status ", report.head.status,
+                              ", but did not say that the request had not run");
+    m_context.metrics.recordUnprovenRefusal(report.head.status);
+    logEvent(LogLevel::Warning, "unproven-refusal")
+        .with("request", m_call.id)
+        .with("endpoint", m_endpoint)
+        .with("status", report.head.status);
+    co_return report;
+}
+
 bool ForwardedRequest::isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const
 {
     const bool onlyCall = connection.calls() == 1;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -106,6 +106,9 @@
     /// under content that nobody has seen answered may say more of the content.
     [[nodiscard]] bool speaksOfVersion(const SendReport &report) const;
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
+    /// Ends a send whose answer, of a call that may have run, has a status that promises callers
+    /// the opposite.
+    http::Awaitable<SendReport> withhold(EndpointSend &send, SendReport report);
     /// Whether \a head is surely the refusal of this send, and no copy of an earlier one that
     /// the endpoint wrote on the same connection.
     [[nodiscard]] bool isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const;
@@ -118,6 +121,8 @@
     http::Awaitable<void> refuse(Refusal refusal);
     [[nodiscard]] bool inputsFit() const;
     [[nodiscard]] Refusal refusalAfter(const SendReport &report) const;
+    /// Why a request that may have run is given up after \a report.
+    [[nodiscard]] Reason reasonAfter(const SendReport &report) const;
     [[nodiscard]] Refusal refusalAfterException(std::string problem) const;
     [[nodiscard]] Duration left() const;
     [[nodiscard]] Duration firstPatience() const;
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -355,6 +355,7 @@
         }
         break;
     case SendResult::ServerError:
+    case SendResult::UnprovenRefusal:
         count(true, false);
         break;
     case SendResult::Lost:
--- a/standin/endpoint.cc
+++ b/standin/endpoint.cc
@@ -224,7 +224,7 @@
     const bool onRoute = m_faults.failRoute.empty() || m_faults.failRoute == route;
     const bool overloaded = m_faults.failAbove > 0 && m_ledger.running > m_faults.failAbove;
     if (overloaded || (onRoute && hit(m_faults.failRate))) {
-        co_await exchange.answer(answerFor(exchange, 500, R"({"error":"fault"})"));
+        co_await exchange.answer(answerFor(exchange, m_faults.failStatus, R"({"error":"fault"})"));
         co_return true;
     }
     co_return false;
@@ -485,6 +485,7 @@
     set("order_fail", m_faults.orderFailRate);
     m_faults.holdBefore = intOr(object, "hold_before", m_faults.holdBefore ? 1 : 0) != 0;
     m_faults.holdAfter = intOr(object, "hold_after", m_faults.holdAfter ? 1 : 0) != 0;
+    m_faults.failStatus = intOr(object, "fail_status", m_faults.failStatus);
     m_faults.failAbove = intOr(object, "fail_above", m_faults.failAbove);
     if (const auto *route = object.if_contains("fail_route")) {
         m_faults.failRoute = json::value_to<std::string>(*route);
--- a/standin/endpoint.h
+++ b/standin/endpoint.h
@@ -40,7 +40,8 @@
 /// Faults that tests switch on.
 struct EndpointFaults {
     double slow = 1; ///< Factor on all times.
-    double failRate = 0; ///< Fraction of calls answered 500.
+    double failRate = 0; ///< Fraction of calls that run and are answered with failStatus.
+    int failStatus = 500;
     std::string failRoute; ///< failRate counts only on this call or stage, unless empty.
     int failAbove = 0; ///< Calls fail while more than this many run; 0 is off.
     double refuseRate = 0; ///< Fraction refused before running.
--- a/tests/booking_test.cc
+++ b/tests/booking_test.cc
@@ -187,6 +187,36 @@
     cr_expect_gt(confirmed, kBookings / 2);
 }
 
+// Callers take these statuses for "not run, book again": a booking that ran gets none, whether its
+// endpoint just answered, another daemon did the sending, or its key is remembered.
+Test(booking, no_refusals_status_is_passed_on_from_an_endpoint_that_ran_a_booking)
+{
+    Testbed bed;
+    startWithDesks(bed, {"z1", "z2"});
+    for (const int status : {408, 429, 503}) {
+        for (const auto *desk : {"desk-z1", "desk-z2"}) {
+            bed.endpointFault(desk, {{"fail", 1}, {"fail_status", status}});
+        }
+        for (const auto &daemon : bed.daemons()) {
+            const auto keyless = post(daemon->callers, kBook, json::object{{"order", status}}, shopsHeader());
+            cr_expect_eq(keyless.status, 502, "%d: %d %s", status, keyless.status, keyless.body.c_str());
+        }
+        const auto key = "order-" + std::to_string(status);
+        for (int repeat = 0; repeat < 2; ++repeat) {
+            for (const auto &daemon : bed.daemons()) {
+                const auto answer = book(daemon->callers, key);
+                cr_expect_eq(answer.reply.status, 502, "%d: %d %s", status, answer.reply.status,
+                             answer.reply.body.c_str());
+                cr_expect_eq(answer.outcome(), "failed");
+            }
+        }
+        Runs runs;
+        addRuns(bed.ledger("desk-z1"), runs);
+        addRuns(bed.ledger("desk-z2"), runs);
+        cr_expect_eq(runs.byKey[key], 1);
+    }
+}
+
 Test(booking, refusals_are_typed_as_in_the_golden_file)
 {
     Testbed bed;
