Reject a request whose end can't be told

Cause: the parser knows only transfer codings that end in "chunked"; it takes a request with any other one for a request without a body, and what follows for the next one.

Fix: once the header is read, a request with a transfer coding other than exactly "chunked", with several such headers, with a length beside it, or with two lengths, is answered 400, and its connection is closed (RFC 9112, 6.1 and 6.3).

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -12,6 +12,8 @@
 #include "mimosahub/error.h"
 #include "mimosahub/outcome.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -94,6 +96,21 @@
     }
 }
 
+/// Whether \a request has a body whose end can't be told: codings of its transfer of which the
+/// last isn't "chunked", several such headers, or a length beside them (RFC 9112, 6.1 and 6.3).
+/// What would follow its header would be taken for a further request.
+bool hasUnknownEnd(const beast::http::fields &request)
+{
+    using beast::http::field;
+    if (request.count(field::transfer_encoding) == 0) {
+        return request.count(field::content_length) > 1;
+    }
+    const auto coding = fromBeast(request[field::transfer_encoding]);
+    const absl::string_view text(coding.data(), coding.size());
+    return request.count(field::transfer_encoding) > 1 || request.count(field::content_length) > 0
+        || !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(text), "chunked");
+}
+
 Reason unreadableReason(boost::system::error_code ec)
 {
     if (ec == beast::http::error::header_limit || ec == beast::http::error::buffer_overflow) {
@@ -367,6 +384,9 @@
     stream.expires_after(m_options.headerTimeout);
     const auto [headerError, headerBytes] = co_await beast::http::async_read_header(stream, buffer, parser, kTuple);
     auto ec = headerError;
+    if (!ec && hasUnknownEnd(parser.get())) {
+        ec = beast::http::make_error_code(beast::http::error::bad_transfer_encoding);
+    }
     if (!ec && !parser.is_done()) {
         stream.expires_after(m_options.messageTimeout);
         const auto [bodyError, bodyBytes] = co_await beast::http::async_read(stream, buffer, parser, kTuple);
--- a/src/http/server_test.cc
+++ b/src/http/server_test.cc
@@ -435,3 +435,26 @@
     }
     runClient([&](ConnectionPool &pool) { return checkAlive(pool, {"127.0.0.1", server.port()}); });
 }
+
+// The body was taken for a further request, which ran: callers that send the bodies of others
+// on one connection got answers to requests that nobody had made.
+Test(server, rejects_a_request_whose_end_cannot_be_told)
+{
+    RunningServer server;
+    const std::string inner = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\ninner";
+    const auto length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+    const std::string coding = "Transfer-Encoding: ";
+    for (const auto &framing :
+         {coding + "gzip\r\n", coding + "chunked, identity\r\n", coding + "xchunked\r\n", coding + "gzip, chunked\r\n",
+          coding + "identity\r\n", coding + "\r\n", coding + "chunked\r\n" + coding + "identity\r\n",
+          coding + "identity\r\n" + coding + "chunked\r\n", coding + "gzip\r\n" + length,
+          length + coding + "chunked\r\n", length + "Content-Length: 1\r\n"}) {
+        const auto answer = sendRaw(server.port(), "POST /echo HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n" + inner);
+        cr_expect(answer.starts_with("HTTP/1.1 400 "), "%s: %s", framing.c_str(), answer.c_str());
+        cr_expect_eq(answer.find("\r\n\r\ninner"), std::string::npos, "%s: %s", framing.c_str(), answer.c_str());
+        cr_expect_neq(answer.find("Connection: close"), std::string::npos, "%s: %s", framing.c_str(), answer.c_str());
+    }
+    const auto whole = sendRaw(
+        server.port(), "POST /echo HTTP/1.1\r\nHost: x\r\n" + coding + " Chunked \r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    cr_expect(whole.starts_with("HTTP/1.1 200 ") && whole.ends_with("whole"), "%s", whole.c_str());
+}
