Pass over copies of answers to batches

An endpoint of stages had sent an answer a second time, late, on a connection in use again.

Cause: an answer to a batch names no call. The copy was read as the answer to the next batch on its connection, and the answers after it were out of step.

Fix: each result has a handle that its maker gives to no other one. An answer whose first handle has come before, among the last 4,096 answers, is passed over and counted. A connection whose answer has no result or can't be read is closed, since a copy of that could not be told.

--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -23,6 +23,8 @@
 constexpr Duration kQuestionTimeout = std::chrono::milliseconds(500); ///< For an endpoint's memory.
 constexpr std::uint64_t kMaxShortAnswer = std::uint64_t(64) << 10U; ///< Bytes of an answer to a release or question.
 constexpr std::uint64_t kMaxAnswer = std::uint64_t(4) << 20U; ///< Bytes of a call's answer.
+constexpr int kMaxCopies = 2; ///< Copies of earlier answers that are passed over.
+constexpr std::size_t kRecentAnswers = 4096; ///< That are recognized, of all endpoints together.
 
 BatchFailure failureOf(const http::ClientConnection &connection, const absl::Status &status)
 {
@@ -103,9 +105,12 @@
       m_protocol(protocol),
       m_pool(pool),
       m_notices(notices),
+      m_recentAnswers(kRecentAnswers),
       m_calls(metrics.counter("mimosahub_stage_calls_total", "Calls of stages' endpoints.")),
       m_pieces(metrics.counter("mimosahub_stage_pieces_total", "Pieces in calls of stages' endpoints.")),
-      m_failedCalls(metrics.counter("mimosahub_stage_calls_failed_total", "Calls of stages' endpoints that failed."))
+      m_failedCalls(metrics.counter("mimosahub_stage_calls_failed_total", "Calls of stages' endpoints that failed.")),
+      m_copies(metrics.counter("mimosahub_stage_answer_copies_total",
+                               "Answers of stages' endpoints that came once more, where the next call's was due."))
 {
 }
 
@@ -360,8 +365,7 @@
     }
     auto &connections = deskOf(service)->connections;
     connections[call.id] = connection->get();
-    const auto answer = co_await (*connection)
-                            ->call(m_protocol.writeBatch(call.endpoint.info.id, call.pieces), call.timeout, kMaxAnswer);
+    const auto answer = co_await send(call, **connection);
     connections.erase(call.id);
     if (!answer.ok()) {
         failed(service, call, failureOf(**connection, answer.status()), answer.status());
@@ -375,16 +379,44 @@
         failed(service, call, BatchFailure::NotRun, absl::OkStatus());
         co_return;
     }
-    m_pool.release(std::move(*connection));
     const auto results = m_protocol.readBatch(answer->body(), call.pieces.size());
+    if (!results.ok() || !RecentAnswers::isRecognizable(*results)) {
+        // A copy of it would be taken for the next call's answer.
+        (*connection)->close();
+    }
+    m_pool.release(std::move(*connection));
     if (!results.ok()) {
         failed(service, call, BatchFailure::Lost, results.status());
         co_return;
     }
+    m_recentAnswers.record(*results);
     deskOf(service)->planner.ended(call.id, *results, m_clock.now());
     schedule(service);
 }
 
+http::Awaitable<absl::StatusOr<http::Response>> StageRunner::send(const BatchCall &call,
+                                                                  http::ClientConnection &connection)
+{
+    auto request = m_protocol.writeBatch(call.endpoint.info.id, call.pieces);
+    auto answer = co_await connection.call(std::move(request), call.timeout, kMaxAnswer);
+    for (int copies = 1; answer.ok() && isCopy(*answer, call); ++copies) {
+        m_copies.add();
+        logEvent(LogLevel::Warning, "stage-answer-again").with("endpoint", call.endpoint.info.id);
+        if (copies > kMaxCopies) {
+            connection.close();
+            co_return absl::DataLossError("only copies of earlier answers came");
+        }
+        answer = co_await connection.readAnswer(call.timeout, kMaxAnswer);
+    }
+    co_return answer;
+}
+
+bool StageRunner::isCopy(const http::Response &answer, const BatchCall &call) const
+{
+    const auto results = m_protocol.readBatch(answer.body(), call.pieces.size());
+    return results.ok() && m_recentAnswers.contains(*results);
+}
+
 void StageRunner::failed(const ServiceId &service, const BatchCall &call, BatchFailure failure,
                          const absl::Status &status)
 {
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "forward/recent_answers.h"
 #include "gateway/call_protocol.h"
 #include "gateway/gateway_view.h"
 #include "gateway/notice_recorder.h"
@@ -67,6 +68,11 @@
     void logLoad(const ServiceId &service, Desk &desk);
     void armTimer(const ServiceId &service, Desk &desk);
     http::Awaitable<void> run(ServiceId service, BatchCall call);
+    /// Sends \a call and reads its answer, passing over copies of earlier ones. Errors: as of
+    /// http::ClientConnection::call(); DataLoss if only copies come.
+    http::Awaitable<absl::StatusOr<http::Response>> send(const BatchCall &call, http::ClientConnection &connection);
+    /// Whether \a answer, which came for \a call, has come before.
+    [[nodiscard]] bool isCopy(const http::Response &answer, const BatchCall &call) const;
     http::Awaitable<void> drop(ServiceId service, ResultRelease release);
     http::Awaitable<void> dropAtMaker(ServiceId service, Address maker, std::vector<ResultHandle> handles);
     http::Awaitable<void> ask(ServiceId service, MemoryQuery question);
@@ -85,10 +91,12 @@
     http::ConnectionPool &m_pool;
     NoticeRecorder &m_notices;
     std::map<ServiceId, std::unique_ptr<Desk>> m_desks;
+    RecentAnswers m_recentAnswers;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     Counter &m_calls;
     Counter &m_pieces;
     Counter &m_failedCalls;
+    Counter &m_copies;
 };
 
 } // namespace mimosahub
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -284,6 +284,11 @@
     if (!sent.ok()) {
         co_return sent;
     }
+    co_return co_await readAnswer(timeout, maxBytes);
+}
+
+Awaitable<absl::StatusOr<Response>> ClientConnection::readAnswer(Duration timeout, std::uint64_t maxBytes)
+{
     auto response = co_await readHeader(timeout);
     if (!response.ok()) {
         co_return response.status();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -50,8 +50,9 @@
     Awaitable<absl::StatusOr<std::optional<std::string>>> readSomeWithin(Duration patience);
     /// Reads the rest of the body, of at most \a maxBytes, within \a timeout.
     Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes);
-    /// Sends \a request and reads its whole answer, of at most \a maxBytes of body,
-    /// within \a timeout.
+    /// Reads a whole answer, of at most \a maxBytes of body, within \a timeout.
+    Awaitable<absl::StatusOr<Response>> readAnswer(Duration timeout, std::uint64_t maxBytes);
+    /// Sends \a request and reads its whole answer, as readAnswer().
     Awaitable<absl::StatusOr<Response>> call(Request request, Duration timeout, std::uint64_t maxBytes);
     /// Closes at once.
     void close();
