Believe no answer that does not name its request

Cause: a refusal had to name its request; a success that named none was taken for the answer to the request that waited.

Fix: an answer that names no request ends its send as lost, and its connection. Sound endpoints name the request in each answer.

--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -553,9 +553,9 @@
             co_return report;
         }
     }
-    if (report.head.notRun && !isOwnRefusal(report.head, connection)) {
+    if (!isOwnAnswer(report.head, connection)) {
         report.loss = SendLoss::BrokenOff;
-        report.why = absl::StrCat("a refusal with status ", report.head.status, " may be of an earlier call");
+        report.why = absl::StrCat("an answer with status ", report.head.status, " may be to an earlier call");
         connection.close();
         co_return report;
     }
@@ -618,10 +618,13 @@
     co_return report;
 }
 
-bool ForwardedRequest::isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const
+bool ForwardedRequest::isOwnAnswer(const EndpointHead &head, const http::ClientConnection &connection) const
 {
+    if (!head.request) {
+        return false;
+    }
     const bool onlyCall = connection.calls() == 1;
-    return head.request && (onlyCall || !m_refusedAt.contains(connection.peer()));
+    return !head.notRun || onlyCall || !m_refusedAt.contains(connection.peer());
 }
 
 void ForwardedRequest::noteFirstByte()
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -109,9 +109,9 @@
     /// Ends a send whose answer, of a call that may have run, has a status that promises callers
     /// the opposite.
     http::Awaitable<SendReport> withhold(EndpointSend &send, SendReport report);
-    /// Whether \a head is surely the refusal of this send, and no copy of an earlier one that
+    /// Whether \a head is surely of the answer to this send, and no copy of an earlier one that
     /// the endpoint wrote on the same connection.
-    [[nodiscard]] bool isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const;
+    [[nodiscard]] bool isOwnAnswer(const EndpointHead &head, const http::ClientConnection &connection) const;
     /// False if the endpoint stayed silent and is given up.
     http::Awaitable<bool> awaitFirstByte(EndpointSend &send);
     /// Reads more of a stream; DeadlineExceeded if the endpoint stayed silent and is given up.
