Try a version on each route before it is completed

Callers saw: after a rollout each request of one route failed for good.

Cause: a route with fewer than 8 outcomes of the target was looked at in the sum over all routes only, which such a route doesn't move; and it got no more than the trial's share, so that it never had 8.

Fix: in a trial every other request of a route goes to the target until eight have, over all daemons, within the same limit; what that takes counts towards the trial's share. From three outcomes on, a route's failures are compared with the old version's, and slow answers from eight on as before: a few are chance. A route on which the old version has 20 outcomes must have been tried.

--- a/src/forward/split_judge.cc
+++ b/src/forward/split_judge.cc
@@ -27,6 +27,8 @@
 constexpr std::int64_t kLeastOutcomes = 10; ///< Of the target, without which it isn't completed.
 constexpr double kExcess = 0.12; ///< Of a sound target's rates of bad answers over the old version's, at most.
 constexpr std::int64_t kLeastOfRoute = 8; ///< Outcomes of the target on a route that is looked at by itself.
+constexpr std::int64_t kLeastOfRareRoute = 3; ///< From so many on, failures on a route are looked at.
+constexpr std::int64_t kKnownRoute = 20; ///< Outcomes of the old version on a route that the target must know too.
 constexpr double kRouteExcess = 0.3;
 constexpr double kStandardErrors = 1.5; ///< Of the old version's rate, which count as chance.
 constexpr double kMovingShare = 1.0;
@@ -52,21 +54,35 @@
     return options;
 }
 
-/// Whether the target's rates are no more than \a excess, and some chance, above the
-/// old version's.
-bool isNear(const RouteOutcomes &outcomes, double excess)
+/// Whether the target's rate of \a hits is no more than \a excess, and some chance, above
+/// the old version's.
+bool isNear(const RouteOutcomes &outcomes, HitCounter hits, double excess)
 {
-    const auto near = [&](HitCounter hits) {
-        const auto rate = [hits](const VersionOutcomes &version) {
-            return static_cast<double>(version.*hits)
-                / static_cast<double>(std::max<std::int64_t>(1, version.finished));
-        };
-        const double usual = rate(outcomes.from);
-        const double trials = static_cast<double>(std::max<std::int64_t>(1, outcomes.to.finished));
-        const double chance = kStandardErrors * std::sqrt(usual * (1.0 - usual) / trials);
-        return rate(outcomes.to) <= usual + excess + chance;
+    const auto rate = [hits](const VersionOutcomes &version) {
+        return static_cast<double>(version.*hits) / static_cast<double>(std::max<std::int64_t>(1, version.finished));
     };
-    return near(&VersionOutcomes::failed) && near(&VersionOutcomes::slow);
+    const double usual = rate(outcomes.from);
+    const double trials = static_cast<double>(std::max<std::int64_t>(1, outcomes.to.finished));
+    const double chance = kStandardErrors * std::sqrt(usual * (1.0 - usual) / trials);
+    return rate(outcomes.to) <= usual + excess + chance;
+}
+
+bool isNear(const RouteOutcomes &outcomes, double excess)
+{
+    return isNear(outcomes, &VersionOutcomes::failed, excess) && isNear(outcomes, &VersionOutcomes::slow, excess);
+}
+
+/// Whether nothing on one route speaks against the target. A few slow answers may be chance;
+/// a few failures, and hardly anything else, are not.
+bool looksSoundOnRoute(const RouteOutcomes &outcomes)
+{
+    if (outcomes.to.finished >= kLeastOfRoute) {
+        return isNear(outcomes, kRouteExcess);
+    }
+    if (outcomes.to.finished >= kLeastOfRareRoute) {
+        return outcomes.to.failed < kLeastOfRareRoute || isNear(outcomes, &VersionOutcomes::failed, kRouteExcess);
+    }
+    return outcomes.from.finished < kKnownRoute;
 }
 
 /// \a fraction of \a duration, but \a longest at most.
@@ -160,7 +176,7 @@
     RouteOutcomes sum;
     for (const auto &[route, outcomes] : total()) {
         sum += outcomes;
-        if (outcomes.to.finished >= kLeastOfRoute && !isNear(outcomes, kRouteExcess)) {
+        if (!looksSoundOnRoute(outcomes)) {
             return false;
         }
     }
--- a/src/forward/split_judge_test.cc
+++ b/src/forward/split_judge_test.cc
@@ -33,6 +33,7 @@
     double perSecond = 45.0; ///< Requests of the service, over all daemons.
     Duration duration = 15s;
     int routes = 3;
+    double rarePart = 0.0; ///< Of the requests that go to route 0 alone, if not 0; the others share the rest.
     Rates old = {0.005, 0.03};
     /// The target's rates on \a route, \a elapsed after the order, with \a share of the last half second's requests.
     std::function<Rates(int route, Duration elapsed, double share)> target;
@@ -64,6 +65,15 @@
     TimePoint newsAt{1h};
 };
 
+int drawRoute(const Scenario &scenario, Random &random)
+{
+    const auto routes = static_cast<std::uint64_t>(scenario.routes);
+    if (scenario.rarePart == 0.0) {
+        return static_cast<int>(random.below(routes));
+    }
+    return random.uniform() < scenario.rarePart ? 0 : 1 + static_cast<int>(random.below(routes - 1));
+}
+
 Ending play(const Scenario &scenario, std::uint64_t seed)
 {
     Random random(seed);
@@ -115,12 +125,13 @@
         due += scenario.perSecond * std::chrono::duration<double>(kStep).count();
         for (; due >= 1.0; due -= 1.0) {
             auto &daemon = daemons[random.below(daemons.size())];
-            const auto route = static_cast<int>(random.below(static_cast<std::uint64_t>(scenario.routes)));
-            const bool target = daemon.split.drawTarget(random);
+            const auto route = drawRoute(scenario, random);
+            const RouteId routeId(std::to_string(route));
+            const bool target = daemon.split.drawTarget(routeId, random);
             const auto rates = target ? scenario.target(route, elapsed, share) : scenario.old;
             const bool failed = random.uniform() < rates.failed;
             const bool slow = !failed && random.uniform() < rates.slow;
-            auto &counts = daemon.counts[{std::to_string(route), ZoneId("any")}];
+            auto &counts = daemon.counts[{routeId.str(), ZoneId("any")}];
             auto &version = target ? counts.to : counts.from;
             ++version.finished;
             version.failed += failed ? 1 : 0;
@@ -128,12 +139,12 @@
             ++ending.all;
             ++recentAll;
             if (target) {
-                daemon.split.recordTargetSend();
+                daemon.split.recordTargetSend(routeId);
                 ++ending.target;
                 ++recentTarget;
                 ending.lastTarget = elapsed;
             } else {
-                daemon.split.recordOldSend();
+                daemon.split.recordOldSend(routeId);
             }
             const auto &all = judge.sum().to;
             if (!ending.fiftieth && all.failed + all.slow >= kBadAnswers) {
@@ -200,6 +211,36 @@
     expectAll(scenario, SplitPhase::RolledBack);
 }
 
+// A route with 2 in 100 of the requests had too few outcomes to be looked at: the version was completed,
+// and each request of the route failed from then on.
+Test(split_judge, a_version_that_fails_on_a_rare_route_ends_in_a_rollback)
+{
+    Scenario scenario;
+    scenario.duration = 20s;
+    scenario.rarePart = 0.02;
+    scenario.target = [](int route, Duration, double) { return Rates{route == 0 ? 1.0 : 0.005, 0.03}; };
+    for (const int daemons : {1, 2, 7, 70}) {
+        scenario.daemons = daemons;
+        scenario.perSecond = daemons == 70 ? 400.0 : 50.0;
+        expectAll(scenario, SplitPhase::RolledBack);
+    }
+}
+
+Test(split_judge, a_sound_version_with_a_rare_route_is_completed)
+{
+    Scenario scenario;
+    scenario.duration = 20s;
+    scenario.target = [](int, Duration, double) { return Rates{0.005, 0.03}; };
+    for (const double rarePart : {0.001, 0.005, 0.02, 0.1}) {
+        scenario.rarePart = rarePart;
+        for (const int daemons : {1, 2, 7, 70}) {
+            scenario.daemons = daemons;
+            scenario.perSecond = daemons == 70 ? 400.0 : 50.0;
+            expectAll(scenario, SplitPhase::Completed);
+        }
+    }
+}
+
 Test(split_judge, a_sound_version_is_completed_by_the_deadline)
 {
     Scenario scenario;
--- a/src/forward/version_split.cc
+++ b/src/forward/version_split.cc
@@ -15,6 +15,7 @@
 {
 
 constexpr double kTrialPart = 0.5; ///< Of the limit's share that a trial uses.
+constexpr std::uint64_t kTrialSends = 8; ///< After which a route is tried, over all daemons.
 constexpr double kSharePart = 0.8; ///< Of the limit's share that is ever used.
 constexpr double kSlackPart = 0.4; ///< Of the limit's slack that is ever used.
 
@@ -51,14 +52,28 @@
     return static_cast<double>(m_targetSends) + 1.0 <= limit;
 }
 
-bool VersionSplit::drawTarget(Random &random) const
+// Every other request of a route goes to the target until the route is tried there.
+bool VersionSplit::drawTrial(const RouteId &route, Random &random) const
+{
+    const auto it = m_routes.find(route);
+    const auto sends = it == m_routes.end() ? RouteSends() : it->second;
+    if (sends.target * static_cast<std::uint64_t>(m_daemons) < kTrialSends) {
+        return sends.target <= sends.old;
+    }
+    // What untried routes have had counts towards the trial's share.
+    const double share = kTrialPart * m_limit.share;
+    const auto all = static_cast<double>(m_targetSends + m_oldSends);
+    return random.uniform() < share && static_cast<double>(m_targetSends) <= share * all + 1.0;
+}
+
+bool VersionSplit::drawTarget(const RouteId &route, Random &random) const
 {
     switch (m_phase) {
     case SplitPhase::Paused:
     case SplitPhase::RolledBack:
         return false;
     case SplitPhase::Trial:
-        return random.uniform() < kTrialPart * m_limit.share && withinLimit();
+        return withinLimit() && drawTrial(route, random);
     case SplitPhase::LoadTest:
         return withinLimit();
     case SplitPhase::Moving:
--- a/src/forward/version_split.h
+++ b/src/forward/version_split.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/random.h"
+#include "forward/gateway_configuration.h"
 #include "mimosahub/ids.h"
 
 #include <cstdint>
+#include <map>
 #include <string_view>
 
 /// Split of one service's requests between the version of a rollout and the others.
@@ -69,20 +71,22 @@
     /// The number of daemons among which the limit's slack is divided, at least 1.
     void setDaemons(int daemons);
 
-    /// Whether the next send goes to the target.
-    [[nodiscard]] bool drawTarget(Random &random) const;
+    /// Whether the next send of a request of \a route goes to the target.
+    [[nodiscard]] bool drawTarget(const RouteId &route, Random &random) const;
     /// Whether a send may go to the target if no old endpoint can take it.
     [[nodiscard]] bool mayUseTarget() const;
 
-    /// Records a send to the target; to be called before it is made.
-    void recordTargetSend()
+    /// Records a send of a request of \a route to the target; to be called before it is made.
+    void recordTargetSend(const RouteId &route)
     {
         ++m_targetSends;
+        ++m_routes[route].target;
     }
-    /// Records that a send has reached an old endpoint.
-    void recordOldSend()
+    /// Records that a send of a request of \a route has reached an old endpoint.
+    void recordOldSend(const RouteId &route)
     {
         ++m_oldSends;
+        ++m_routes[route].old;
     }
     [[nodiscard]] std::uint64_t targetSends() const
     {
@@ -94,13 +98,21 @@
     }
 
 private:
+    struct RouteSends {
+        std::uint64_t target = 0;
+        std::uint64_t old = 0;
+    };
+
     [[nodiscard]] bool withinLimit() const;
+    /// drawTarget() in a trial, within the limit.
+    [[nodiscard]] bool drawTrial(const RouteId &route, Random &random) const;
 
     ExposureLimit m_limit;
     SplitPhase m_phase = SplitPhase::Paused;
     int m_daemons = 1;
     std::uint64_t m_targetSends = 0;
     std::uint64_t m_oldSends = 0;
+    std::map<RouteId, RouteSends> m_routes;
 };
 
 } // namespace mimosahub
--- a/src/forward/version_split_test.cc
+++ b/src/forward/version_split_test.cc
@@ -8,6 +8,13 @@
 
 using namespace mimosahub;
 
+namespace
+{
+
+const RouteId kRoute("r");
+
+} // namespace
+
 // Whatever phases the daemons are in, and however their requests are distributed, the
 // target gets no more than its limit until the rollout moves all requests.
 Test(version_split, daemons_keep_the_limit_together_without_a_message)
@@ -28,11 +35,11 @@
             if (random.below(20) == 0) {
                 split.setPhase(static_cast<SplitPhase>(random.below(3)));
             }
-            if (split.drawTarget(random)) {
-                split.recordTargetSend();
+            if (split.drawTarget(kRoute, random)) {
+                split.recordTargetSend(kRoute);
                 ++target;
             } else {
-                split.recordOldSend();
+                split.recordOldSend(kRoute);
             }
             RC_ASSERT(target <= limit.share * (all + 1) + limit.slack);
         }
@@ -46,8 +53,8 @@
     for (const auto phase : {SplitPhase::Paused, SplitPhase::RolledBack}) {
         split.setPhase(phase);
         for (int i = 0; i < 1000; ++i) {
-            cr_assert(!split.drawTarget(random));
-            split.recordOldSend();
+            cr_assert(!split.drawTarget(kRoute, random));
+            split.recordOldSend(kRoute);
         }
     }
     cr_assert(!split.mayUseTarget());
@@ -59,7 +66,27 @@
     Random random(1);
     split.setPhase(SplitPhase::Trial);
     for (int i = 0; i < 10'000; ++i) {
-        split.drawTarget(random) ? split.recordTargetSend() : split.recordOldSend();
+        split.drawTarget(kRoute, random) ? split.recordTargetSend(kRoute) : split.recordOldSend(kRoute);
     }
     cr_assert(split.targetSends() > 400 && split.targetSends() < 600, "%d", static_cast<int>(split.targetSends()));
 }
+
+// What little comes on a rare route is enough to see a fault there.
+Test(version_split, a_trial_begins_with_half_of_each_routes_first_requests)
+{
+    VersionSplit split({0.1, 50.0});
+    Random random(1);
+    split.setPhase(SplitPhase::Trial);
+    const RouteId rare("rare");
+    int target = 0;
+    for (int i = 1; i <= 1000; ++i) {
+        const auto &route = i % 50 == 0 ? rare : kRoute;
+        if (split.drawTarget(route, random)) {
+            split.recordTargetSend(route);
+            target += route == rare ? 1 : 0;
+        } else {
+            split.recordOldSend(route);
+        }
+    }
+    cr_expect_geq(target, 3, "%d of 20", target);
+}
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -200,8 +200,9 @@
         }
     }
     m_contents = contentIdsOf(m_service, m_call.prompt, m_call.content);
-    m_sends = std::make_unique<RequestSends>(
-        m_context, m_service, SendLimits{m_route->repeatable(), m_route->maxAttempts}, [this] { return situation(); });
+    m_sends = std::make_unique<RequestSends>(m_context, m_service, m_route->id,
+                                             SendLimits{m_route->repeatable(), m_route->maxAttempts},
+                                             [this] { return situation(); });
     return std::nullopt;
 }
 
--- a/src/gateway/request_sends.cc
+++ b/src/gateway/request_sends.cc
@@ -22,9 +22,11 @@
 
 } // namespace
 
-RequestSends::RequestSends(ForwardContext &context, ServiceId service, const SendLimits &limits, Situation situation)
+RequestSends::RequestSends(ForwardContext &context, ServiceId service, RouteId route, const SendLimits &limits,
+                           Situation situation)
     : m_context(context),
       m_service(std::move(service)),
+      m_route(std::move(route)),
       m_repeatable(limits.repeatable),
       m_policy(limits),
       m_situation(std::move(situation))
@@ -61,7 +63,7 @@
 RequestSends::Choice RequestSends::choose(EndpointQuery query)
 {
     const auto now = m_context.clock.now();
-    query.version = m_context.rollouts.drawVersion(m_service);
+    query.version = m_context.rollouts.drawVersion(m_service, m_route);
     auto choice = m_context.selector.choose(query, now, m_context.random);
     if (std::holds_alternative<NoEndpointChosen>(choice) && query.version
         && m_context.rollouts.mayUseOther(m_service, *query.version)) {
--- a/src/gateway/request_sends.h
+++ b/src/gateway/request_sends.h
@@ -36,7 +36,8 @@
     static constexpr Duration kMinSendTime = std::chrono::milliseconds(5);
 
     /// \a context must outlive the sends. \a situation is asked before each decision.
-    RequestSends(ForwardContext &context, ServiceId service, const SendLimits &limits, Situation situation);
+    RequestSends(ForwardContext &context, ServiceId service, RouteId route, const SendLimits &limits,
+                 Situation situation);
 
     /// The next send. \a repeat: the request was sent before, so that the send takes a token
     /// of the retry budget.
@@ -89,6 +90,7 @@
 
     ForwardContext &m_context;
     ServiceId m_service;
+    RouteId m_route;
     bool m_repeatable;
     SendPolicy m_policy;
     Situation m_situation;
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -110,7 +110,7 @@
     }
 }
 
-std::optional<VersionFilter> RolloutDirector::drawVersion(const ServiceId &service)
+std::optional<VersionFilter> RolloutDirector::drawVersion(const ServiceId &service, const RouteId &route)
 {
     const auto *active = find(service);
     if (active == nullptr) {
@@ -120,7 +120,7 @@
     if (!active->sharesTraffic && !excluded) {
         return std::nullopt;
     }
-    return VersionFilter{active->rollout.target, active->split.drawTarget(m_random)};
+    return VersionFilter{active->rollout.target, active->split.drawTarget(route, m_random)};
 }
 
 bool RolloutDirector::mayUseOther(const ServiceId &service, const VersionFilter &filter) const
@@ -315,7 +315,7 @@
         m_rollout = known->rollout;
         m_toTarget = endpoint.version == m_rollout.target;
         if (m_toTarget) {
-            known->split.recordTargetSend();
+            known->split.recordTargetSend(m_route);
             director.m_targetSends.add(isSettled(known->split.phase()) ? 0 : 1);
         }
     }
@@ -328,7 +328,7 @@
     }
     auto *known = active();
     if (known != nullptr && !m_toTarget) {
-        known->split.recordOldSend();
+        known->split.recordOldSend(m_route);
     }
     if (isLate()) {
         count(false, true);
@@ -346,7 +346,7 @@
     m_ended = true;
     auto *known = active();
     if (known != nullptr && !m_toTarget && result != SendResult::Unreachable) {
-        known->split.recordOldSend();
+        known->split.recordOldSend(m_route);
     }
     switch (result) {
     case SendResult::Answered:
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -57,8 +57,8 @@
     /// Takes orders, their status, and the versions of endpoints.
     void setView(const GatewayView &view);
 
-    /// Which versions the next send of \a service may go to; absent: any.
-    [[nodiscard]] std::optional<VersionFilter> drawVersion(const ServiceId &service);
+    /// Which versions the next send of a request of \a route to \a service may go to; absent: any.
+    [[nodiscard]] std::optional<VersionFilter> drawVersion(const ServiceId &service, const RouteId &route);
     /// Whether the send may go to the other side of \a filter, where nothing fits it.
     [[nodiscard]] bool mayUseOther(const ServiceId &service, const VersionFilter &filter) const;
     /// The versions that calls for stages of \a service may go to; absent: any.
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -57,7 +57,7 @@
     Daemon daemon;
     daemon.show({kOld, kTarget}, RolloutStage::Running);
     for (int i = 0; i < 1000; ++i) {
-        const auto filter = daemon.director.drawVersion(kService);
+        const auto filter = daemon.director.drawVersion(kService, RouteId("r"));
         cr_assert(filter && filter->admits(kOld) && !filter->admits(kTarget));
     }
 }
@@ -67,7 +67,7 @@
     Daemon daemon;
     daemon.show({kOld, kTarget}, RolloutStage::RolledBack);
     daemon.show({kTarget}, RolloutStage::RolledBack);
-    const auto filter = daemon.director.drawVersion(kService);
+    const auto filter = daemon.director.drawVersion(kService, RouteId("r"));
     cr_assert(filter && !filter->admits(kTarget) && !daemon.director.mayUseOther(kService, *filter));
 }
 
@@ -76,7 +76,7 @@
     Daemon daemon;
     for (const auto status : {RolloutStage::Running, RolloutStage::RolledBack, RolloutStage::Completed}) {
         daemon.show({kTarget}, status);
-        cr_assert(!daemon.director.drawVersion(kService));
+        cr_assert(!daemon.director.drawVersion(kService, RouteId("r")));
     }
 }
 
@@ -84,7 +84,7 @@
 {
     Daemon daemon;
     daemon.show({kOld, kTarget}, RolloutStage::Completed);
-    const auto filter = daemon.director.drawVersion(kService);
+    const auto filter = daemon.director.drawVersion(kService, RouteId("r"));
     cr_assert(filter && filter->admits(kTarget) && daemon.director.mayUseOther(kService, *filter));
 }
 
