--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -200,8 +200,9 @@
         }
     }
     m_contents = contentIdsOf(m_service, m_call.prompt, m_call.content);
-    m_sends = std::make_unique<RequestSends>(
-        m_context, m_service, SendLimits{m_route->repeatable(), m_route->maxAttempts}, [this] { return situation(); });
+    m_sends = std::make_unique<RequestSends>(m_context, m_service, m_route->id,
+                                             SendLimits{m_route->repeatable(), m_route->maxAttempts},
+                                             [this] { return situation(); });
     return std::nullopt;
 }
 
@@ -396,11 +397,19 @@
         refusal.reason = m_context.stop.refusing ? Reason::Draining : Reason::Overloaded;
         refusal.retryAfter = m_context.selector.restOf(m_service, m_context.clock.now()).value_or(kRetryAfter);
     } else {
-        refusal.reason = left() < RequestSends::kMinSendTime ? Reason::DeadlinePassed : Reason::EndpointLost;
+        refusal.reason = reasonAfter(report);
     }
     return refusal;
 }
 
+Reason ForwardedRequest::reasonAfter(const SendReport &report) const
+{
+    if (left() < RequestSends::kMinSendTime) {
+        return Reason::DeadlinePassed;
+    }
+    return report.result == SendResult::UnprovenRefusal ? Reason::EndpointFailed : Reason::EndpointLost;
+}
+
 Refusal ForwardedRequest::refusalAfterException(std::string problem) const
 {
     const auto known = m_sending ? Outcome::Unknown : outcome();
@@ -478,6 +487,7 @@
         send->end(SendEnd::Answered, latencyRatio);
         break;
     case SendResult::ServerError:
+    case SendResult::UnprovenRefusal:
         send->end(SendEnd::ServerError, std::nullopt);
         break;
     case SendResult::Lost:
@@ -544,9 +554,9 @@
             co_return report;
         }
     }
-    if (report.head.notRun && !isOwnRefusal(report.head, connection)) {
+    if (!isOwnAnswer(report.head, connection)) {
         report.loss = SendLoss::BrokenOff;
-        report.why = absl::StrCat("a refusal with status ", report.head.status, " may be of an earlier call");
+        report.why = absl::StrCat("an answer with status ", report.head.status, " may be to an earlier call");
         connection.close();
         co_return report;
     }
@@ -566,6 +576,9 @@
         connection.close();
         co_return report;
     }
+    if (promisesNotRun(report.head.status)) {
+        co_return co_await withhold(send, std::move(report));
+    }
     const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
     if (m_streamBegun && !(events && isSuccess(report.head.status))) {
         const bool serverError = report.head.status >= kFirstErrorStatus;
@@ -592,10 +605,27 @@
     co_return report;
 }
 
-bool ForwardedRequest::isOwnRefusal(const EndpointHead &head, const http::ClientConnection &connection) const
+http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::withhold(EndpointSend &send, SendReport report)
 {
+    static_cast<void>(co_await send.connection().readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes));
+    report.result = SendResult::UnprovenRefusal;
+    report.why = absl::StrCat("the endpoint answered with status ", report.head.status,
+                              ", but did not say that the request had not run");
+    m_context.metrics.recordUnprovenRefusal(report.head.status);
+    logEvent(LogLevel::Warning, "unproven-refusal")
+        .with("request", m_call.id)
+        .with("endpoint", m_endpoint)
+        .with("status", report.head.status);
+    co_return report;
+}
+
+bool ForwardedRequest::isOwnAnswer(const EndpointHead &head, const http::ClientConnection &connection) const
+{
+    if (!head.request) {
+        return false;
+    }
     const bool onlyCall = connection.calls() == 1;
-    return head.request && (onlyCall || !m_refusedAt.contains(connection.peer()));
+    return !head.notRun || onlyCall || !m_refusedAt.contains(connection.peer());
 }
 
 void ForwardedRequest::noteFirstByte()
