--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -530,46 +530,13 @@
         report.why = std::string(sent.message());
         co_return report;
     }
-    absl::StatusOr<http::Response> head = absl::UnknownError("no answer");
-    for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
-        if (!co_await awaitFirstByte(send)) {
-            report.loss = SendLoss::Silence;
-            report.why = "the endpoint was silent";
-            co_return report;
-        }
-        head = co_await connection.readHeader(left());
-        if (!head.ok()) {
-            report.loss = lossOf(head.status());
-            report.why = std::string(head.status().message());
-            co_return report;
-        }
-        report.head = m_context.protocol.readHead(*head);
-        if (!report.head.request || *report.head.request == m_call.id) {
-            break;
-        }
-        report.why = "an answer to another request came";
-        const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
-        if (!body.ok() || foreign == kMaxForeignAnswers) {
-            connection.close();
-            co_return report;
-        }
-    }
-    if (!isOwnAnswer(report.head, connection)) {
-        report.loss = SendLoss::BrokenOff;
-        report.why = absl::StrCat("an answer with status ", report.head.status, " may be to an earlier call");
-        connection.close();
+    const auto head = co_await receiveHead(send, report);
+    if (!head) {
         co_return report;
     }
     m_context.notices.record(send.endpoint(), report.head, m_call.id.str());
     if (report.head.notRun) {
-        m_refusedAt.insert(connection.peer());
-        const auto body = co_await connection.readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes);
-        report.result = report.head.otherEndpoint ? SendResult::OtherEndpoint : SendResult::Refused;
-        if (report.head.inputsGone) {
-            report.result = SendResult::InputsGone;
-        }
-        report.why = absl::StrCat("the endpoint refused it with status ", report.head.status);
-        co_return report;
+        co_return co_await takeRefusal(connection, std::move(report));
     }
     if (!report.head.certified) {
         report.why = absl::StrCat("an answer with status ", report.head.status, " came without certificate");
@@ -605,6 +572,55 @@
     co_return report;
 }
 
+http::Awaitable<std::optional<http::Response>> ForwardedRequest::receiveHead(EndpointSend &send, SendReport &report)
+{
+    auto &connection = send.connection();
+    absl::StatusOr<http::Response> head = absl::UnknownError("no answer");
+    for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
+        if (!co_await awaitFirstByte(send)) {
+            report.loss = SendLoss::Silence;
+            report.why = "the endpoint was silent";
+            co_return std::nullopt;
+        }
+        head = co_await connection.readHeader(left());
+        if (!head.ok()) {
+            report.loss = lossOf(head.status());
+            report.why = std::string(head.status().message());
+            co_return std::nullopt;
+        }
+        report.head = m_context.protocol.readHead(*head);
+        if (!report.head.request || *report.head.request == m_call.id) {
+            break;
+        }
+        report.why = "an answer to another request came";
+        const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
+        if (!body.ok() || foreign == kMaxForeignAnswers) {
+            connection.close();
+            co_return std::nullopt;
+        }
+    }
+    if (!isOwnAnswer(report.head, connection)) {
+        report.loss = SendLoss::BrokenOff;
+        report.why = absl::StrCat("an answer with status ", report.head.status, " may be to an earlier call");
+        connection.close();
+        co_return std::nullopt;
+    }
+    co_return *std::move(head);
+}
+
+http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::takeRefusal(http::ClientConnection &connection,
+                                                                            SendReport report)
+{
+    m_refusedAt.insert(connection.peer());
+    static_cast<void>(co_await connection.readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes));
+    report.result = report.head.otherEndpoint ? SendResult::OtherEndpoint : SendResult::Refused;
+    if (report.head.inputsGone) {
+        report.result = SendResult::InputsGone;
+    }
+    report.why = absl::StrCat("the endpoint refused it with status ", report.head.status);
+    co_return report;
+}
+
 http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::withhold(EndpointSend &send, SendReport report)
 {
     static_cast<void>(co_await send.connection().readRest(std::min(left(), kRefusalPatience), kMaxRefusalBytes));
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -106,6 +106,11 @@
     /// under content that nobody has seen answered may say more of the content.
     [[nodiscard]] bool speaksOfVersion(const SendReport &report) const;
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
+    /// Reads the header of the answer to a send, and passes over answers to other requests. Absent
+    /// if none came that is surely this send's; \a report says why.
+    http::Awaitable<std::optional<http::Response>> receiveHead(EndpointSend &send, SendReport &report);
+    /// Ends a send that the endpoint refused unrun.
+    http::Awaitable<SendReport> takeRefusal(http::ClientConnection &connection, SendReport report);
     /// Ends a send whose answer, of a call that may have run, has a status that promises callers
     /// the opposite.
     http::Awaitable<SendReport> withhold(EndpointSend &send, SendReport report);
