--- a/src/http/server_test.cc
+++ b/src/http/server_test.cc
@@ -2,6 +2,7 @@
 #include "http/connection_pool.h"
 #include "http/server.h"
 
+#include <absl/strings/str_cat.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
@@ -441,20 +442,20 @@
 Test(server, rejects_a_request_whose_end_cannot_be_told)
 {
     RunningServer server;
-    const std::string inner = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\ninner";
-    const auto length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
-    const std::string coding = "Transfer-Encoding: ";
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: x\r\n";
+    const std::string inner = head + "Content-Length: 5\r\n\r\ninner";
+    const auto length = absl::StrCat("Content-Length: ", inner.size(), "\r\n");
+    const auto coding = [](const std::string &name) { return absl::StrCat("Transfer-Encoding: ", name, "\r\n"); };
     for (const auto &framing :
-         {coding + "gzip\r\n", coding + "chunked, identity\r\n", coding + "xchunked\r\n", coding + "gzip, chunked\r\n",
-          coding + "identity\r\n", coding + "\r\n", coding + "chunked\r\n" + coding + "identity\r\n",
-          coding + "identity\r\n" + coding + "chunked\r\n", coding + "gzip\r\n" + length,
-          length + coding + "chunked\r\n", length + "Content-Length: 1\r\n"}) {
-        const auto answer = sendRaw(server.port(), "POST /echo HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n" + inner);
+         {coding("gzip"), coding("chunked, identity"), coding("xchunked"), coding("gzip, chunked"), coding("identity"),
+          coding(""), absl::StrCat(coding("chunked"), coding("identity")),
+          absl::StrCat(coding("identity"), coding("chunked")), absl::StrCat(coding("gzip"), length),
+          absl::StrCat(length, coding("chunked")), absl::StrCat(length, "Content-Length: 1\r\n")}) {
+        const auto answer = sendRaw(server.port(), absl::StrCat(head, framing, "\r\n", inner));
         cr_expect(answer.starts_with("HTTP/1.1 400 "), "%s: %s", framing.c_str(), answer.c_str());
         cr_expect_eq(answer.find("\r\n\r\ninner"), std::string::npos, "%s: %s", framing.c_str(), answer.c_str());
         cr_expect_neq(answer.find("Connection: close"), std::string::npos, "%s: %s", framing.c_str(), answer.c_str());
     }
-    const auto whole = sendRaw(
-        server.port(), "POST /echo HTTP/1.1\r\nHost: x\r\n" + coding + " Chunked \r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    const auto whole = sendRaw(server.port(), absl::StrCat(head, coding(" Chunked "), "\r\n5\r\nwhole\r\n0\r\n\r\n"));
     cr_expect(whole.starts_with("HTTP/1.1 200 ") && whole.ends_with("whole"), "%s", whole.c_str());
 }
