Wait for documents no longer than the bound on configurations allows

Callers saw: 404, 401 and old services for up to five seconds after a version was confirmed (CONFIG).

Cause: a read that begins to wait while the store writes is at times answered only once its wait is over, and ours waited for five seconds, longer than the bound.

Fix: the pause is taken out; a read of the operators' documents waits for three quarters of the bound on configurations at most, a new setting (store.configuration_bound) that the platform fills in. What the store misses is read in time, whatever the moment.

--- a/src/follow/keyed_follower.h
+++ b/src/follow/keyed_follower.h
@@ -17,10 +17,7 @@
 struct KeyedFollowerOptions {
     StoreTable table = StoreTable::OperatorDocuments;
     Duration wait = std::chrono::seconds(20); ///< Maximum time that one read waits for a record.
-    /// Delay between a response and the next read, so that many changes cost one read. A read that
-    /// begins to wait at the very moment of a change may miss the next one: a store is known to
-    /// answer it only once its wait is over.
-    Duration pause = std::chrono::milliseconds(50);
+    Duration pause{}; ///< Delay between a response and the next read, so that many changes cost one read.
     /// Delays of 100 ms, doubled with each failure up to 800 ms, each varied by up to half.
     BackoffOptions backoff = {std::chrono::milliseconds(100), 2.0, std::chrono::milliseconds(800), 0.5};
 };
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -33,11 +33,11 @@
     return options;
 }
 
-KeyedFollowerOptions documentOptions()
+KeyedFollowerOptions documentOptions(const StoreSettings &settings)
 {
     KeyedFollowerOptions options;
     options.table = StoreTable::OperatorDocuments;
-    options.wait = std::chrono::seconds(5);
+    options.wait = settings.documentWait();
     return options;
 }
 
@@ -86,7 +86,7 @@
       m_pool(m_io, clock, storePoolOptions()),
       m_store(std::make_unique<RelayedStore>(m_io, clock, makeStore(m_pool, settings.store.address), documents, asker,
                                              endpointTable, relayOptions(settings.store))),
-      m_operators(m_io, *m_store, *this, m_random, documentOptions()),
+      m_operators(m_io, *m_store, *this, m_random, documentOptions(settings.store)),
       m_endpoints(m_io, *m_store, *this, m_random, endpointOptions(settings.store)),
       m_daemons(m_io, *m_store, *this, m_random, daemonOptions()),
       m_rollouts(m_io, clock, *m_store, documents, *this, m_random),
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -17,6 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr Range<Duration> kLeavingBound = {100ms, 2min};
+constexpr Range<Duration> kConfigurationBound = {500ms, 2min};
 constexpr Range<Duration> kPeriod = {0ms, 1h};
 constexpr Range<double> kRatio = {0.0, 10.0};
 constexpr Range<double> kShare = {0.0, 1.0};
@@ -39,6 +40,7 @@
     StoreSettings store;
     readAddress(reader, "address", store.address);
     reader.duration("leaving_bound", store.leavingBound, kLeavingBound);
+    reader.duration("configuration_bound", store.configurationBound, kConfigurationBound);
     reader.duration("lapse_grace", store.lapseGrace, kPeriod);
     reader.finish();
     return store;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -2,6 +2,8 @@
 
 #include "config/settings.h"
 
+#include <algorithm>
+
 namespace mimosahub
 {
 
@@ -18,6 +20,8 @@
     Address address;
     Duration leavingBound =
         std::chrono::milliseconds(1400); ///< An endpoint that leaves gets no request after this time.
+    Duration configurationBound =
+        std::chrono::seconds(3); ///< A configuration is to be in force this long after the store confirmed it.
     Duration lapseGrace = std::chrono::milliseconds(1700); ///< A lapsed entry is kept so long after the store's return.
 
     /// Time between two reads of the endpoints' entries: a failed one can be repeated in time.
@@ -25,6 +29,13 @@
     {
         return leavingBound / 2;
     }
+    /// How long a read waits for operators' documents. The store may miss a read that begins to
+    /// wait while it writes, and answers it only once the wait is over.
+    [[nodiscard]] Duration documentWait() const
+    {
+        constexpr Duration kLongestWait = std::chrono::seconds(5);
+        return std::min<Duration>(kLongestWait, configurationBound * 3 / 4);
+    }
 };
 
 /// Second sends that all daemons together may make of one service's requests.
