Read a batch's answer once

An answer to a batch was parsed twice, to see whether it is a copy and for its results. send() now gives what it has read; isCopy() is gone.

--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -371,15 +371,14 @@
         failed(service, call, failureOf(**connection, answer.status()), answer.status());
         co_return;
     }
-    const auto head = m_protocol.readHead(*answer);
-    m_notices.record(call.endpoint, head, "stage");
-    if (head.notRun) {
+    m_notices.record(call.endpoint, answer->head, "stage");
+    if (answer->head.notRun) {
         // Nothing in an answer names its call: a copy of the refusal would be taken for the next one's answer.
         (*connection)->close();
         failed(service, call, BatchFailure::NotRun, absl::OkStatus());
         co_return;
     }
-    const auto results = m_protocol.readBatch(answer->body(), call.pieces.size());
+    const auto &results = answer->results;
     if (!results.ok() || !RecentAnswers::isRecognizable(*results)) {
         // A copy of it would be taken for the next call's answer.
         (*connection)->close();
@@ -394,27 +393,25 @@
     schedule(service);
 }
 
-http::Awaitable<absl::StatusOr<http::Response>> StageRunner::send(const BatchCall &call,
-                                                                  http::ClientConnection &connection)
+http::Awaitable<absl::StatusOr<StageRunner::BatchAnswer>> StageRunner::send(const BatchCall &call,
+                                                                            http::ClientConnection &connection)
 {
     auto request = m_protocol.writeBatch(call.endpoint.info.id, call.pieces);
-    auto answer = co_await connection.call(std::move(request), call.timeout, kMaxAnswer);
-    for (int copies = 1; answer.ok() && isCopy(*answer, call); ++copies) {
+    auto response = co_await connection.call(std::move(request), call.timeout, kMaxAnswer);
+    for (int copies = 1; response.ok(); ++copies) {
+        BatchAnswer answer{m_protocol.readHead(*response), m_protocol.readBatch(response->body(), call.pieces.size())};
+        if (!answer.results.ok() || !m_recentAnswers.contains(*answer.results)) {
+            co_return answer;
+        }
         m_copies.add();
         logEvent(LogLevel::Warning, "stage-answer-again").with("endpoint", call.endpoint.info.id);
         if (copies > kMaxCopies) {
             connection.close();
             co_return absl::DataLossError("only copies of earlier answers came");
         }
-        answer = co_await connection.readAnswer(call.timeout, kMaxAnswer);
+        response = co_await connection.readAnswer(call.timeout, kMaxAnswer);
     }
-    co_return answer;
-}
-
-bool StageRunner::isCopy(const http::Response &answer, const BatchCall &call) const
-{
-    const auto results = m_protocol.readBatch(answer.body(), call.pieces.size());
-    return results.ok() && m_recentAnswers.contains(*results);
+    co_return response.status();
 }
 
 void StageRunner::failed(const ServiceId &service, const BatchCall &call, BatchFailure failure,
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -61,6 +61,12 @@
         TimePoint nextLoadLine;
     };
 
+    /// An endpoint's answer to a batch.
+    struct BatchAnswer {
+        EndpointHead head;
+        absl::StatusOr<std::vector<PieceResult>> results; ///< InvalidArgument if they can't be read.
+    };
+
     Desk *deskOf(const ServiceId &service);
     void schedule(const ServiceId &service);
     void pump(const ServiceId &service);
@@ -70,9 +76,7 @@
     http::Awaitable<void> run(ServiceId service, BatchCall call);
     /// Sends \a call and reads its answer, passing over copies of earlier ones. Errors: as of
     /// http::ClientConnection::call(); DataLoss if only copies come.
-    http::Awaitable<absl::StatusOr<http::Response>> send(const BatchCall &call, http::ClientConnection &connection);
-    /// Whether \a answer, which came for \a call, has come before.
-    [[nodiscard]] bool isCopy(const http::Response &answer, const BatchCall &call) const;
+    http::Awaitable<absl::StatusOr<BatchAnswer>> send(const BatchCall &call, http::ClientConnection &connection);
     http::Awaitable<void> drop(ServiceId service, ResultRelease release);
     http::Awaitable<void> dropAtMaker(ServiceId service, Address maker, std::vector<ResultHandle> handles);
     http::Awaitable<void> ask(ServiceId service, MemoryQuery question);
