--- a/src/forward/split_judge_test.cc
+++ b/src/forward/split_judge_test.cc
@@ -170,6 +170,16 @@
     }
 }
 
+/// Plays the scenario as expectAll() does, with one daemon up to many.
+void expectAllWithAnyDaemons(Scenario scenario, SplitPhase phase)
+{
+    for (const int daemons : {1, 2, 7, 70}) {
+        scenario.daemons = daemons;
+        scenario.perSecond = daemons == 70 ? 400.0 : 50.0;
+        expectAll(scenario, phase);
+    }
+}
+
 } // namespace
 
 Test(split_judge, a_slow_version_ends_in_a_rollback_within_its_bound)
@@ -219,11 +229,7 @@
     scenario.duration = 20s;
     scenario.rarePart = 0.02;
     scenario.target = [](int route, Duration, double) { return Rates{route == 0 ? 1.0 : 0.005, 0.03}; };
-    for (const int daemons : {1, 2, 7, 70}) {
-        scenario.daemons = daemons;
-        scenario.perSecond = daemons == 70 ? 400.0 : 50.0;
-        expectAll(scenario, SplitPhase::RolledBack);
-    }
+    expectAllWithAnyDaemons(scenario, SplitPhase::RolledBack);
 }
 
 Test(split_judge, a_sound_version_with_a_rare_route_is_completed)
@@ -233,11 +239,7 @@
     scenario.target = [](int, Duration, double) { return Rates{0.005, 0.03}; };
     for (const double rarePart : {0.001, 0.005, 0.02, 0.1}) {
         scenario.rarePart = rarePart;
-        for (const int daemons : {1, 2, 7, 70}) {
-            scenario.daemons = daemons;
-            scenario.perSecond = daemons == 70 ? 400.0 : 50.0;
-            expectAll(scenario, SplitPhase::Completed);
-        }
+        expectAllWithAnyDaemons(scenario, SplitPhase::Completed);
     }
 }
 
