--- a/review/rig_2.cc
+++ b/review/rig_2.cc
@@ -413,6 +413,11 @@
 
 void Store::stop()
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopped = true;
+    }
+    m_appended.notify_all();
     m_listener.stop();
 }
 
@@ -431,6 +436,16 @@
     add(topic, static_cast<char>(key.size()) + key + value);
 }
 
+std::string Store::value(const std::string &topic, const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    std::string newest;
+    for (const auto &item : m_topics[topic]) {
+        newest = item.key == key ? item.value : newest;
+    }
+    return newest;
+}
+
 void Store::serve(Channel &channel)
 {
     constexpr auto kIdle = std::chrono::seconds(60);
@@ -484,7 +499,7 @@
     const auto from = std::strtoul(queryValue(query, "from").c_str(), nullptr, 10);
     const auto wait = Millis(std::strtoul(queryValue(query, "wait_ms").c_str(), nullptr, 10));
     std::unique_lock lock(m_mutex);
-    m_appended.wait_for(lock, wait, [&] { return m_topics[topic].size() > from || m_listener.stopped(); });
+    m_appended.wait_for(lock, wait, [&] { return m_topics[topic].size() > from || m_stopped; });
     const auto &log = m_topics[topic];
     auto body = bigEndian(log.size(), 8) + bigEndian(0, 8);
     for (auto i = from; i < log.size(); ++i) {
@@ -522,9 +537,9 @@
 std::string entryDocument(const Entry &entry)
 {
     return R"({"service":")" + entry.service + R"(","address":"127.0.0.1:)" + std::to_string(entry.port)
-        + R"(","zone":"z1","version":"v1","slots":)" + std::to_string(entry.slots) + R"(,"state":")"
-        + (entry.draining ? "draining" : "ready") + R"(","cold_left_ms":0,"seq":)" + std::to_string(entry.sequence)
-        + (entry.born ? ",\"born\":" + std::to_string(*entry.born) : "") + "}";
+        + R"(","zone":"z1","version":")" + entry.version + R"(","slots":)" + std::to_string(entry.slots)
+        + R"(,"state":")" + (entry.draining ? "draining" : "ready") + R"(","cold_left_ms":0,"seq":)"
+        + std::to_string(entry.sequence) + (entry.born ? ",\"born\":" + std::to_string(*entry.born) : "") + "}";
 }
 
 Server::Server(ServerOptions options)
@@ -537,6 +552,7 @@
     Entry entry;
     entry.id = m_options.id;
     entry.service = m_options.service;
+    entry.version = m_options.version;
     entry.port = m_listener.port();
     entry.slots = m_options.slots;
     entry.born = m_born;
@@ -555,11 +571,11 @@
     return m_runs;
 }
 
-std::string Server::head(const Message &request, std::string_view type) const
+std::string Server::head(const Message &request, std::string_view type, int status) const
 {
-    return "HTTP/1.1 200 OK\r\nX-Mimosahub-Request-Id: " + request.header("X-Mimosahub-Request-Id")
-        + "\r\nX-Mimosahub-Server-Stamp: stamp-" + m_options.id + "\r\nContent-Type: " + std::string(type) + "\r\n"
-        + (m_leaving ? "Server-Leaving: 1\r\n" : "");
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Mimosahub-Request-Id: "
+        + request.header("X-Mimosahub-Request-Id") + "\r\nX-Mimosahub-Server-Stamp: stamp-" + m_options.id
+        + "\r\nContent-Type: " + std::string(type) + "\r\n" + (m_leaving ? "Server-Leaving: 1\r\n" : "");
 }
 
 void Server::serve(Channel &channel)
@@ -615,7 +631,11 @@
 bool Server::book(Channel &channel, const Message &request)
 {
     std::this_thread::sleep_for(m_options.bookTime);
-    return channel.send(head(request, "text/plain") + "Content-Length: 6\r\n\r\nbooked");
+    const bool failed = m_options.fails();
+    m_options.onBooked(failed);
+    const std::string body = failed ? "failed" : "booked";
+    return channel.send(head(request, "text/plain", failed ? 500 : 200)
+                        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 void Server::sendEndlessly(Channel &channel, const Message &request)
--- a/review/rig_2.h
+++ b/review/rig_2.h
@@ -163,6 +163,8 @@
     }
     /// Appends as an operator or server does; an empty value drops the key.
     void put(const std::string &topic, const std::string &key, const std::string &value);
+    /// The newest value of a key, or empty.
+    [[nodiscard]] std::string value(const std::string &topic, const std::string &key);
     void stop();
 
 private:
@@ -181,6 +183,7 @@
     std::mutex m_mutex;
     std::condition_variable m_appended;
     std::map<std::string, std::vector<Item>> m_topics;
+    bool m_stopped = false;
     Listener m_listener;
 };
 
@@ -189,6 +192,7 @@
     std::string id;
     std::string service;
     std::uint16_t port = 0;
+    std::string version = "v1";
     int slots = 128;
     bool draining = false;
     int sequence = 1;
@@ -201,6 +205,7 @@
 struct ServerOptions {
     std::string id;
     std::string service = "assistant";
+    std::string version = "v1";
     int slots = 128;
     Millis firstTime{600}; ///< From a request to the first event of its stream.
     int events = 12;
@@ -209,6 +214,10 @@
     /// Whether a request gets no answer but bytes without end, until the caller closes.
     std::function<bool()> endless = [] { return false; };
     std::size_t endlessBytesPerSecond = 700'000;
+    /// Whether a request of /book/ fails after it has run: status 500 with the server's stamp.
+    std::function<bool()> fails = [] { return false; };
+    /// Called for each request of /book/ that ran, with whether it failed.
+    std::function<void(bool failed)> onBooked = [](bool) {};
 };
 
 /// A model server that follows the pages, but for the requests that are to get bytes without end.
@@ -246,7 +255,7 @@
     bool stream(Channel &channel, const Message &request);
     bool book(Channel &channel, const Message &request);
     void sendEndlessly(Channel &channel, const Message &request);
-    [[nodiscard]] std::string head(const Message &request, std::string_view type) const;
+    [[nodiscard]] std::string head(const Message &request, std::string_view type, int status = 200) const;
 
     ServerOptions m_options;
     std::int64_t m_born = wallMillis();
