Start on settings that leave out a feature, and read four figures of an endpoint's load

Deployments without rollouts state no figures for them. The template filled in null, so that every daemon ended at its start with "rollouts.exposure_share: found null" and no request was served. Groups of fields that a deployment may leave out are now sections of the template: rollouts and duties are then off, which one line at start says, and a rollout order is refused in the logs. A value that is present and wrong is still an error.

An endpoint's load of four figures was dropped as a whole. Each figure is read by itself, the fourth as a ratio of work time; an odd one is counted and logged once for each endpoint.

--- a/src/ctl/file_commands.cc
+++ b/src/ctl/file_commands.cc
@@ -6,7 +6,9 @@
 #include "config/settings.h"
 #include "ctl/publish_plan.h"
 #include "ctl/session.h"
+#include "gateway/gateway_settings.h"
 #include "mimosahub/error.h"
+#include "platform/settings_template.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
@@ -60,6 +62,42 @@
     return report;
 }
 
+FileReport checkGatewaySettings(const std::string &file, const std::string &text)
+{
+    FileReport report;
+    report.file = file;
+    const auto settings = GatewaySettings::parse(file, text);
+    report.problems = settings.problems();
+    if (settings.ok()) {
+        report.content = "settings of " + settings.value().instance.id.str();
+    }
+    return report;
+}
+
+/// Checks a template as it is filled in with all fields, and without each group that may be absent.
+FileReport checkTemplate(const std::string &file, const std::string &text)
+{
+    FileReport report;
+    report.file = file;
+    report.content = "template of settings";
+    const auto checkWith = [&](const boost::json::object &fields) {
+        const auto filled = platform::renderTemplate(text, fields);
+        if (!filled.ok()) {
+            report.problems.push_back({file, "", std::string(filled.status().message()), "a template"});
+            return;
+        }
+        const auto found = checkGatewaySettings(file, *filled).problems;
+        report.problems.insert(report.problems.end(), found.begin(), found.end());
+    };
+    checkWith(platform::exampleFields());
+    for (const auto &group : platform::optionalFields()) {
+        if (report.problems.empty()) {
+            checkWith(platform::withoutGroup(platform::exampleFields(), group));
+        }
+    }
+    return report;
+}
+
 FileReport checkDeployment(const std::string &file, const std::string &text)
 {
     FileReport report;
@@ -83,6 +121,12 @@
     if (!text.ok()) {
         return {file, "", text.problems(), ZoneId(), {}};
     }
+    if (platform::isTemplate(text.value())) {
+        return checkTemplate(file, text.value());
+    }
+    if (isGatewayDocument(text.value())) {
+        return checkGatewaySettings(file, text.value());
+    }
     const auto document = parseDocument(file, text.value());
     const bool settings = document.ok() && holdsSettings(document.value());
     return settings ? checkSettings(file, text.value()) : checkDeployment(file, text.value());
--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -2,6 +2,7 @@
 
 #include "forward/piece.h"
 #include "forward/prompt_affinity.h"
+#include "forward/work_time_ratio.h"
 #include "http/message.h"
 #include "mimosahub/endpoint.h"
 #include "mimosahub/ids.h"
@@ -46,11 +47,14 @@
     std::optional<int> priorityClass; ///< 0 is the most urgent.
 };
 
-/// Calls at an endpoint, as it says itself.
+/// Load of an endpoint as it reports it itself. A figure that was missing or could not be read is
+/// absent; the others hold.
 struct EndpointLoad {
-    int running = 0;
-    int queued = 0;
-    int slots = 1;
+    std::optional<int> running; ///< Requests that it runs.
+    std::optional<int> queued; ///< Requests that wait there.
+    std::optional<int> slots; ///< Requests that it runs at most.
+    std::optional<WorkTimeRatio> workTime; ///< How long work takes on its machine at this moment.
+    std::vector<std::string> unreadable; ///< Names of the figures that were present but could not be read.
 };
 
 /// What the header of an endpoint's answer says.
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -470,9 +470,8 @@
     if (report.result == SendResult::Lost && report.loss == SendLoss::BrokenOff) {
         m_context.crashes.record(endpoint, lostSend());
     }
-    if (report.head.load) {
-        m_context.selector.recordLoad(endpoint.info.id, report.head.load->running, report.head.load->queued,
-                                      m_context.clock.now());
+    if (const auto &load = report.head.load; load && load->running && load->queued) {
+        m_context.selector.recordLoad(endpoint.info.id, *load->running, *load->queued, m_context.clock.now());
     }
     std::optional<double> latencyRatio;
     if (const auto usual = m_context.usual.of(m_route->id); usual && m_firstByte) {
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "gateway/gateway_traffic.h"
 
+#include <absl/strings/str_join.h>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 
@@ -200,6 +201,9 @@
     }
     (*traffic)->start();
     control.start();
+    if (const auto features = settings.disabledFeatures(); !features.empty()) {
+        logEvent(LogLevel::Info, "features-disabled").with("features", absl::StrJoin(features, ", "));
+    }
     logEvent(LogLevel::Info, "started")
         .with("instance", settings.instance.id)
         .with("zone", settings.instance.zone)
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -23,6 +23,13 @@
 constexpr Range<double> kShare = {0.0, 1.0};
 constexpr Range<double> kCapacity = {1e-6, 1e6};
 constexpr Range<double> kExtra = {0.0, 1e9};
+constexpr Range<Duration> kLease = {100ms, 1h};
+constexpr Range<Duration> kUsageWindow = {100ms, 24h};
+constexpr Range<int> kMemoryMb = {64, 1'000'000};
+constexpr Range<int> kDescriptors = {256, 10'000'000};
+
+constexpr const char *kUsageReport = "usage_report";
+constexpr const char *kAutoscale = "autoscale";
 
 GatewayListenSettings readListen(ObjectReader reader)
 {
@@ -65,6 +72,40 @@
     return settings;
 }
 
+InstanceLimits readLimits(ObjectReader reader)
+{
+    InstanceLimits limits;
+    reader.integer("memory_mb", limits.memoryMb, kMemoryMb);
+    reader.integer("descriptors", limits.descriptors, kDescriptors);
+    reader.finish();
+    return limits;
+}
+
+DutySettings readDuties(ObjectReader reader)
+{
+    DutySettings duties;
+    readAddress(reader, "address", duties.address);
+    reader.items("names", [&](const boost::json::value &value, const Place & /*place*/) {
+        const auto *name = value.if_string();
+        if (name != nullptr && *name == kUsageReport) {
+            duties.usageReport = true;
+        } else if (name != nullptr && *name == kAutoscale) {
+            duties.autoscale = true;
+        } else {
+            duties.unknown.push_back(shown(value));
+        }
+    });
+    reader.number("calls_per_second", duties.callsPerSecond, kExtra);
+    reader.flag("fence_checked", duties.fenceChecked);
+    reader.duration("lease", duties.lease, kLease);
+    reader.duration("resume_slack", duties.resumeSlack, kPeriod);
+    reader.duration("usage_window", duties.usageWindow, kUsageWindow);
+    reader.duration("usage_due", duties.usageDue, kPeriod);
+    reader.number("usage_tolerance", duties.usageTolerance, kShare);
+    reader.finish();
+    return duties;
+}
+
 } // namespace
 
 Checked<GatewaySettings> GatewaySettings::parse(std::string_view file, std::string_view text)
@@ -80,7 +121,13 @@
     settings.listen = readListen(reader.object("listen"));
     settings.store = readStore(reader.object("store"));
     settings.secondSends = readSecondSends(reader.object("second_sends"));
-    settings.rollouts = readRollouts(reader.object("rollouts"));
+    if (reader.has("rollouts")) {
+        settings.rollouts = readRollouts(reader.object("rollouts"));
+    }
+    if (reader.has("duties")) {
+        settings.duties = readDuties(reader.object("duties"));
+    }
+    settings.limits = readLimits(reader.object("limits"));
     reader.duration("grace", settings.grace, kPeriod);
     reader.number("capacity", settings.capacity, kCapacity);
     settings.log = readLog(reader.object("log"));
@@ -94,6 +141,24 @@
     return text.ok() ? parse(path, text.value()) : Checked<GatewaySettings>(text.problems());
 }
 
+std::vector<std::string> GatewaySettings::disabledFeatures() const
+{
+    std::vector<std::string> names;
+    if (!rollouts) {
+        names.emplace_back("rollouts");
+    }
+    if (!duties || !duties->usageReport) {
+        names.emplace_back(kUsageReport);
+    }
+    if (!duties || !duties->autoscale) {
+        names.emplace_back(kAutoscale);
+    }
+    if (duties) {
+        names.insert(names.end(), duties->unknown.begin(), duties->unknown.end());
+    }
+    return names;
+}
+
 bool isGatewayDocument(std::string_view text)
 {
     const auto document = parseDocument("", text);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -3,6 +3,9 @@
 #include "config/settings.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace mimosahub
 {
@@ -52,6 +55,28 @@
     double exposureSlack = 50.0; ///< Requests besides.
 };
 
+/// What the platform lets the process use.
+struct InstanceLimits {
+    int memoryMb = 256; ///< Resident and in the kernel's socket buffers; above it the process is killed.
+    int descriptors = 4096; ///< Open files and sockets.
+};
+
+/// Duties that one daemon at a time carries out for the deployment by calls to the platform.
+struct DutySettings {
+    Address address; ///< Of the platform's interface for them.
+    bool usageReport = false; ///< Reports the requests of each workspace by window of true time.
+    bool autoscale = false; ///< Orders the number of endpoints of each service and zone.
+    std::vector<std::string> unknown; ///< Names of further duties, which this program does not have.
+    double callsPerSecond = 50.0; ///< That the platform accepts from all daemons together.
+    bool fenceChecked = true; ///< The platform refuses a lower fencing token than it has seen.
+    Duration lease = std::chrono::seconds(3); ///< Two holders may not alternate within this time.
+    Duration resumeSlack =
+        std::chrono::milliseconds(300); ///< Calls that arrive so soon after a pause of the process are excused.
+    Duration usageWindow = std::chrono::seconds(5); ///< Window k begins k times this after the start of 1970.
+    Duration usageDue = std::chrono::seconds(10); ///< After a window's end.
+    double usageTolerance = 0.05; ///< Relative error of a reported count.
+};
+
 /// Settings of one daemon that forwards requests on a deployment whose store
 /// holds configuration, endpoints and orders.
 struct GatewaySettings {
@@ -59,7 +84,9 @@
     GatewayListenSettings listen;
     StoreSettings store;
     SecondSendSettings secondSends;
-    RolloutSettings rollouts;
+    std::optional<RolloutSettings> rollouts; ///< Absent: rollouts are off.
+    std::optional<DutySettings> duties; ///< Absent: no duty is carried out.
+    InstanceLimits limits;
     Duration grace = std::chrono::seconds(8); ///< From SIGTERM to the platform's SIGKILL.
     double capacity = 1.0; ///< Of the instance, relative to others of the deployment; above 0.
     LogSettings log;
@@ -67,6 +94,8 @@
     /// Reads and checks a document as a whole; \a file is named in problems.
     [[nodiscard]] static Checked<GatewaySettings> parse(std::string_view file, std::string_view text);
     [[nodiscard]] static Checked<GatewaySettings> load(const std::string &path);
+    /// Names of the features that these settings leave off.
+    [[nodiscard]] std::vector<std::string> disabledFeatures() const;
 };
 
 /// Whether the document \a text is one of a gateway: it has a member "store".
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -28,6 +28,14 @@
     return options;
 }
 
+std::optional<ExposureLimit> exposureLimit(const GatewaySettings &settings)
+{
+    if (!settings.rollouts) {
+        return std::nullopt;
+    }
+    return ExposureLimit{settings.rollouts->exposureShare, settings.rollouts->exposureSlack};
+}
+
 http::ServerOptions serverOptions(const CallerLimits &limits)
 {
     http::ServerOptions options;
@@ -73,8 +81,7 @@
       m_quarantine(*m_io, shared.clock, shared.metrics, m_random),
       m_secondSendSettings(shared.settings.secondSends),
       m_metrics(shared.metrics),
-      m_rollouts(*m_io, shared.clock, shared.settings.instance.id, seed,
-                 {shared.settings.rollouts.exposureShare, shared.settings.rollouts.exposureSlack}, shared.metrics,
+      m_rollouts(*m_io, shared.clock, shared.settings.instance.id, seed, exposureLimit(shared.settings), shared.metrics,
                  m_random)
 {
     connectNotices();
--- a/src/gateway/notice_recorder.cc
+++ b/src/gateway/notice_recorder.cc
@@ -5,13 +5,22 @@
 namespace mimosahub
 {
 
+namespace
+{
+
+constexpr std::size_t kMaxLoggedLoads = 4096; ///< Endpoints come under new ids; the counter goes on beyond.
+
+} // namespace
+
 NoticeRecorder::NoticeRecorder(const Clock &clock, Random &random, MetricRegistry &metrics)
     : m_clock(clock),
       m_random(random),
       m_leaving(metrics.counter("mimosahub_endpoint_notices_total", "What endpoints said of themselves in answers.",
                                 {{"notice", "leaving"}})),
       m_rests(metrics.counter("mimosahub_endpoint_notices_total", "What endpoints said of themselves in answers.",
-                              {{"notice", "rest"}}))
+                              {{"notice", "rest"}})),
+      m_unreadableLoads(metrics.counter("mimosahub_endpoint_loads_unreadable_total",
+                                        "Figures of endpoints' reported load that could not be read."))
 {
 }
 
@@ -20,6 +29,9 @@
     if (head.otherEndpoint) {
         return; // It speaks of another one.
     }
+    if (head.load) {
+        recordLoad(endpoint.info.id, *head.load);
+    }
     const auto now = m_clock.now();
     const auto start = startOf(endpoint);
     if (head.leaving) {
@@ -39,6 +51,17 @@
     }
 }
 
+// One line for each endpoint and figure: an endpoint may repeat the fault in each answer.
+void NoticeRecorder::recordLoad(const EndpointId &endpoint, const EndpointLoad &load)
+{
+    for (const auto &figure : load.unreadable) {
+        m_unreadableLoads.add();
+        if (m_loggedLoads.size() < kMaxLoggedLoads && m_loggedLoads.emplace(endpoint, figure).second) {
+            logEvent(LogLevel::Warning, "endpoint-load-unreadable").with("endpoint", endpoint).with("figure", figure);
+        }
+    }
+}
+
 void NoticeRecorder::takeLeaving(const std::vector<EndpointStart> &endpoints)
 {
     for (const auto &endpoint : endpoints) {
--- a/src/gateway/notice_recorder.h
+++ b/src/gateway/notice_recorder.h
@@ -5,7 +5,10 @@
 #include "gateway/call_protocol.h"
 
 #include <functional>
+#include <set>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace mimosahub
 {
@@ -40,6 +43,7 @@
 
 private:
     void recordLeaving(const EndpointStart &endpoint, std::string_view source);
+    void recordLoad(const EndpointId &endpoint, const EndpointLoad &load);
 
     const Clock &m_clock;
     Random &m_random;
@@ -47,6 +51,8 @@
     Callbacks m_callbacks;
     Counter &m_leaving;
     Counter &m_rests;
+    Counter &m_unreadableLoads;
+    std::set<std::pair<EndpointId, std::string>> m_loggedLoads; ///< Endpoints and figures that have had their line.
 };
 
 } // namespace mimosahub
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -37,8 +37,8 @@
 } // namespace
 
 RolloutDirector::RolloutDirector(boost::asio::io_context &io, const Clock &clock, InstanceId self,
-                                 std::uint64_t incarnation, const ExposureLimit &limit, MetricRegistry &metrics,
-                                 Random &random)
+                                 std::uint64_t incarnation, const std::optional<ExposureLimit> &limit,
+                                 MetricRegistry &metrics, Random &random)
     : m_clock(clock),
       m_self(std::move(self)),
       m_incarnation(incarnation),
@@ -93,10 +93,14 @@
 
 void RolloutDirector::takeOrder(const GatewayView::Rollout &order)
 {
+    if (!m_limit) {
+        refuseOrder(order.id);
+        return;
+    }
     const auto now = m_clock.now();
     auto &active = m_active[order.id.service];
     if (!active || active->rollout != order.id) {
-        active = std::make_unique<Active>(order, m_limit, now);
+        active = std::make_unique<Active>(order, *m_limit, now);
         active->newsAt = now - kNewsAge;
         logEvent(LogLevel::Info, "rollout-begun")
             .with("service", order.id.service)
@@ -110,6 +114,20 @@
     }
 }
 
+void RolloutDirector::refuseOrder(const RolloutId &rollout)
+{
+    const auto [it, isNew] = m_refused.try_emplace(rollout.service, rollout);
+    if (!isNew && it->second == rollout) {
+        return;
+    }
+    it->second = rollout;
+    logEvent(LogLevel::Warning, "rollout-refused")
+        .with("service", rollout.service)
+        .with("target", rollout.target)
+        .with("order", rollout.record)
+        .with("reason", "the settings have no group \"rollouts\"");
+}
+
 std::optional<VersionFilter> RolloutDirector::drawVersion(const ServiceId &service, const RouteId &route)
 {
     const auto *active = find(service);
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -45,7 +45,7 @@
 
     /// All arguments must outlive this object.
     RolloutDirector(boost::asio::io_context &io, const Clock &clock, InstanceId self, std::uint64_t incarnation,
-                    const ExposureLimit &limit, MetricRegistry &metrics, Random &random);
+                    const std::optional<ExposureLimit> &limit, MetricRegistry &metrics, Random &random);
 
     /// To be called before any other function.
     void connect(RolloutPeers &peers, Callbacks callbacks);
@@ -99,6 +99,7 @@
     [[nodiscard]] Active *find(const ServiceId &service);
     [[nodiscard]] const Active *find(const ServiceId &service) const;
     void takeOrder(const GatewayView::Rollout &order);
+    void refuseOrder(const RolloutId &rollout);
     void tick();
     void armTick();
     void look(Active &active);
@@ -112,7 +113,8 @@
     const Clock &m_clock;
     InstanceId m_self;
     std::uint64_t m_incarnation;
-    ExposureLimit m_limit;
+    std::optional<ExposureLimit> m_limit; ///< Absent: rollouts are off.
+    std::map<ServiceId, RolloutId> m_refused; ///< The newest order of a service while rollouts are off.
     Random &m_random;
     RolloutPeers *m_peers = nullptr;
     Callbacks m_callbacks;
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -47,7 +47,7 @@
     ManualClock clock;
     MetricRegistry metrics;
     Random random{1};
-    RolloutDirector director{io, clock, InstanceId("d1"), 1, {0.1, 50.0}, metrics, random};
+    RolloutDirector director{io, clock, InstanceId("d1"), 1, ExposureLimit{0.1, 50.0}, metrics, random};
 };
 
 } // namespace
