Let reads of operators' documents wait long where another daemon confirms them

Each daemon read the operators' documents by itself, waiting for at most three quarters of the bound on configurations, since the store may miss a read that begins to wait while it writes. At 90 daemons these were the most calls of the store. Daemons that read endpoints' entries from a relay hear several times a second how far that one has read the documents; their own read may wait 20 s and is repeated once the relay knows more, lags, or is silent. Relays wait a third as long as before.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -60,6 +60,11 @@
     RelayedStoreOptions options;
     options.longestAge = settings.leavingBound * 3 / 10;
     options.interval = settings.leavingBound / 4;
+    // A document that the relay's read missed is in force after relayWait, two answers of the relay
+    // and a read: within the bound on configurations, which is no less than that on leaving.
+    options.documents.ownWait = settings.documentWait();
+    options.documents.relayWait = settings.documentWait() / 3;
+    options.documents.confirmedAge = settings.documentWait() / 2;
     return options;
 }
 
@@ -388,7 +393,7 @@
 // has lost its read of documents; that the other one knows more of them shows it.
 void GatewayControl::compareDocuments()
 {
-    m_store->setDocumentOffset(m_operators.next());
+    m_store->setDocumentOffset(m_documentsReached ? m_operators.next() : StoreOffset(0));
     if (m_store->documentsMissing(m_operators.next())) {
         logEvent(LogLevel::Warning, "documents-missing").with("next", m_operators.next());
         m_operators.restartRead();
@@ -397,6 +402,7 @@
 
 void GatewayControl::storeReached(StoreTable table)
 {
+    m_documentsReached = m_documentsReached || table == StoreTable::OperatorDocuments;
     compareDocuments();
     if (m_storeLost) {
         m_storeLost = false;
@@ -416,6 +422,10 @@
 void GatewayControl::storeFailed(StoreTable table, const absl::Status &status)
 {
     m_storeFailures.add();
+    if (table == StoreTable::OperatorDocuments) {
+        m_documentsReached = false;
+        compareDocuments();
+    }
     if (!m_storeLost) {
         m_storeLost = true;
         m_pool.clear(); // What is idle may be as dead as the connection that failed.
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -103,6 +103,7 @@
     bool m_withdrawn = false;
     boost::asio::steady_timer m_announceTimer;
     bool m_endpointsRead = false;
+    bool m_documentsReached = false; ///< The last read of operators' documents succeeded: others may rely on it.
     bool m_storeLost = false;
     boost::asio::steady_timer m_expiryTimer;
     boost::asio::steady_timer m_quarantineTimer;
--- a/src/gateway/relayed_store.cc
+++ b/src/gateway/relayed_store.cc
@@ -36,7 +36,8 @@
       m_documents(documents),
       m_asker(asker),
       m_relay(relay),
-      m_options(options)
+      m_options(options),
+      m_documentWatch(options.documents)
 {
 }
 
@@ -59,6 +60,11 @@
 
 http::Awaitable<KeyedReadResult> RelayedStore::read(StoreTable table, StoreOffset from, Duration wait)
 {
+    if (table == StoreTable::OperatorDocuments) {
+        const auto now = m_clock.now();
+        co_return co_await m_store->read(table, from,
+                                         m_documentWatch.beginRead(from, m_relay.hasRecentQueries(now), now));
+    }
     if (table != StoreTable::Endpoints) {
         co_return co_await m_store->read(table, from, wait);
     }
@@ -66,7 +72,7 @@
         for (const auto &record : answer->run.records) {
             note(record);
         }
-        m_documentsBefore = std::exchange(m_documentsHeard, answer->documents);
+        m_documentWatch.recordPeer(answer->documents, m_clock.now());
         answer->run.nextReadDelay = m_options.interval;
         co_return std::move(answer->run);
     }
@@ -87,16 +93,6 @@
     co_return run;
 }
 
-bool RelayedStore::documentsMissing(StoreOffset next)
-{
-    const bool missing = m_documentsHeard && m_documentsBefore && *m_documentsHeard > next && *m_documentsBefore > next;
-    if (missing) {
-        m_documentsHeard.reset();
-        m_documentsBefore.reset();
-    }
-    return missing;
-}
-
 bool RelayedStore::note(const KeyedRecord &record)
 {
     auto endpoint = record.value ? m_documents.endpoint(record.key, *record.value) : absl::NotFoundError("");
--- a/src/gateway/relayed_store.h
+++ b/src/gateway/relayed_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "follow/document_watch.h"
 #include "follow/table_relay.h"
 #include "gateway/document_reader.h"
 
@@ -16,10 +17,12 @@
     Duration longestAge{}; ///< Of another daemon's answer; an older one is no answer.
     Duration interval{}; ///< Between two reads that come from other daemons, or are made for them.
     Duration patience = std::chrono::milliseconds(400); ///< With another daemon.
+    DocumentWatchOptions documents = {}; ///< Of reads of the operators' documents.
 };
 
 /// Reads the endpoints' table from the daemon that relays it, as long as that one's
-/// answers are fresh, and all else from the store. What comes from the store is
+/// answers are fresh, and all else from the store. How long a read of operators' documents
+/// waits, DocumentWatch decides; the caller's wait is not used for them. What comes from the store is
 /// offered to others, without the records that only show that an endpoint lives.
 /// Control thread only.
 class RelayedStore : public KeyedStore
@@ -40,9 +43,11 @@
     {
         m_relay.setDocumentOffset(next);
     }
-    /// Whether another daemon knew of documents from \a next on in each of its last two
-    /// answers: the read that waits for them was lost. True once for each such pair.
-    [[nodiscard]] bool documentsMissing(StoreOffset next);
+    /// Whether the read of documents from \a next on is to be repeated, as of DocumentWatch::isLost().
+    [[nodiscard]] bool documentsMissing(StoreOffset next)
+    {
+        return m_documentWatch.isLost(next, m_clock.now());
+    }
 
 private:
     http::Awaitable<std::optional<TableAnswer>> askOther(StoreTable table, StoreOffset from);
@@ -56,8 +61,7 @@
     TableQueryClient &m_asker;
     TableRelay &m_relay;
     RelayedStoreOptions m_options;
-    std::optional<StoreOffset> m_documentsHeard; ///< Of the last answer.
-    std::optional<StoreOffset> m_documentsBefore; ///< Of the one before.
+    DocumentWatch m_documentWatch;
     std::map<std::string, ListedEndpoint> m_known; ///< By key, but for the number of the entry.
 };
 
