Bound the memory that requests and answers hold by one account

Callers saw a daemon end for lack of memory under many large bodies or endless answers: nothing bounded their sum, and each body was held twice until its answer.

MemoryAccount decides what is read, waits, is refused or ended; BodyReader reads callers' bodies by it, readRest() answers of endpoints. That endpoints get the body is not checked by a run yet. Receive buffers of callers' and endpoints' connections are bounded, bodies have a minimum pace (408), refused bodies are freed at once, and the heap gives large blocks back.

--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -80,7 +80,8 @@
 
     /// Reads a caller's request. Error: InvalidArgument.
     [[nodiscard]] virtual absl::StatusOr<CallerCall> readCall(const http::Request &request) const = 0;
-    /// The call of an endpoint for a caller's request.
+    /// The call of an endpoint for a caller's request, without its body: a copy of that would double the
+    /// memory that a request takes until it is answered.
     [[nodiscard]] virtual http::Request writeCall(const http::Request &request,
                                                   const ForwardOptions &options) const = 0;
     [[nodiscard]] virtual EndpointHead readHead(const http::Response &head) const = 0;
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -520,11 +520,32 @@
     return lost;
 }
 
+http::Awaitable<absl::Status> ForwardedRequest::sendWithBody(http::ClientConnection &connection, http::Request call)
+{
+    std::swap(call.body(), m_exchange.body());
+    auto status = co_await connection.send(call, left());
+    std::swap(call.body(), m_exchange.body()); // For a further send.
+    co_return status;
+}
+
+http::Awaitable<absl::StatusOr<std::string>> ForwardedRequest::readAnswer(EndpointSend &send)
+{
+    auto &connection = send.connection();
+    m_answerMemory.emplace(m_context.memory, http::MemoryUse::Answer, [&connection] { connection.close(); });
+    auto body = co_await connection.readRest(left(), kMaxAnswerBytes, &*m_answerMemory);
+    if (body.ok()) {
+        m_answerMemory->setReceived();
+    } else {
+        m_answerMemory.reset();
+    }
+    co_return body;
+}
+
 http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::exchangeWith(EndpointSend &send, http::Request request)
 {
     auto &connection = send.connection();
     SendReport report;
-    const auto sent = co_await connection.send(request, left());
+    const auto sent = co_await sendWithBody(connection, std::move(request));
     if (!sent.ok()) {
         report.why = std::string(sent.message());
         co_return report;
@@ -557,7 +578,7 @@
     if (m_route->streaming && events) {
         co_return co_await relay(send, *head, std::move(report));
     }
-    const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
+    auto body = co_await readAnswer(send);
     if (!body.ok()) {
         report.loss = lossOf(body.status());
         report.why = std::string(body.status().message());
@@ -567,7 +588,7 @@
     report.why = absl::StrCat("status ", report.head.status);
     report.result = report.head.status < kFirstErrorStatus ? SendResult::Answered : SendResult::ServerError;
     report.answer = m_context.protocol.callerHead(*head);
-    report.answer->body() = *body;
+    report.answer->body() = *std::move(body);
     co_return report;
 }
 
@@ -592,7 +613,7 @@
             break;
         }
         report.why = "an answer to another request came";
-        const auto body = co_await connection.readRest(left(), kMaxAnswerBytes);
+        const auto body = co_await readAnswer(send);
         if (!body.ok() || foreign == kMaxForeignAnswers) {
             connection.close();
             co_return std::nullopt;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -59,6 +59,7 @@
     RolloutDirector &rollouts;
     Random &random;
     StopState &stop;
+    http::MemoryAccount &memory;
     ZoneId zone; ///< This daemon's.
 };
 
@@ -105,7 +106,11 @@
     /// Whether \a report says something of the version of its endpoint: a connection that broke
     /// under content that nobody has seen answered may say more of the content.
     [[nodiscard]] bool speaksOfVersion(const SendReport &report) const;
+    /// Sends \a call, which gets the body of the caller's request for that time.
+    http::Awaitable<absl::Status> sendWithBody(http::ClientConnection &connection, http::Request call);
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
+    /// Reads the rest of a whole answer, of which m_answerMemory keeps account.
+    http::Awaitable<absl::StatusOr<std::string>> readAnswer(EndpointSend &send);
     /// Reads the header of the answer to a send, and passes over answers to other requests. Absent
     /// if none came that is surely this send's; \a report says why.
     http::Awaitable<std::optional<http::Response>> receiveHead(EndpointSend &send, SendReport &report);
@@ -168,6 +173,7 @@
     EndpointId m_endpoint; ///< Of the last send.
     std::set<Address> m_refusedAt; ///< Where endpoints refused it.
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
+    std::optional<http::MemoryHold> m_answerMemory; ///< Of the last whole answer that was read.
     bool m_sending = false; ///< A send has begun whose end m_sends doesn't know yet.
     bool m_logged = false;
 };
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -13,6 +13,7 @@
 #include <boost/json.hpp>
 
 #include <iostream>
+#include <malloc.h>
 
 namespace mimosahub
 {
@@ -103,6 +104,15 @@
     std::vector<std::shared_ptr<http::Server>> m_servers;
 };
 
+/// Makes the heap give large blocks back to the system as soon as they are freed. By default it
+/// raises this threshold up to 32 MiB, and the memory of bodies stays with the process.
+void boundHeap()
+{
+    constexpr int kLargeBlock = 256 * 1024;
+    mallopt(M_MMAP_THRESHOLD, kLargeBlock);
+    mallopt(M_TRIM_THRESHOLD, kLargeBlock);
+}
+
 int fail(const absl::Status &status)
 {
     logEvent(LogLevel::Error, "start-failed").with(status);
@@ -170,6 +180,7 @@
 
 int runGateway(const GatewaySettings &settings, const GatewayAdapter &adapter)
 {
+    boundHeap();
     Signals signals;
     SystemClock clock;
     const auto output = LogOutput::open(std::cout, settings.log.level, settings.log.format, clock);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -26,6 +26,7 @@
 constexpr Range<Duration> kLease = {100ms, 1h};
 constexpr Range<Duration> kUsageWindow = {100ms, 24h};
 constexpr Range<int> kMemoryMb = {64, 1'000'000};
+constexpr Range<int> kBufferMb = {1, 1'000'000};
 constexpr Range<int> kDescriptors = {256, 10'000'000};
 
 constexpr const char *kUsageReport = "usage_report";
@@ -77,6 +78,9 @@
     InstanceLimits limits;
     reader.integer("memory_mb", limits.memoryMb, kMemoryMb);
     reader.integer("descriptors", limits.descriptors, kDescriptors);
+    if (reader.has("buffer_mb")) {
+        reader.integer("buffer_mb", limits.bufferMb.emplace(), kBufferMb);
+    }
     reader.finish();
     return limits;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -59,6 +59,16 @@
 struct InstanceLimits {
     int memoryMb = 256; ///< Resident and in the kernel's socket buffers; above it the process is killed.
     int descriptors = 4096; ///< Open files and sockets.
+    std::optional<int> bufferMb; ///< For bodies of requests and answers; absent: a share of memoryMb.
+
+    /// Bytes that bodies of requests and answers may hold together. Half of what an idle process
+    /// leaves: the rest is for tables, connections and the kernel's socket buffers.
+    [[nodiscard]] std::uint64_t bufferBytes() const
+    {
+        constexpr int kIdleMb = 16; // An idle process held 13 MB.
+        const int share = (memoryMb - kIdleMb - memoryMb / 8) / 2;
+        return static_cast<std::uint64_t>(bufferMb.value_or(share)) << 20U;
+    }
 };
 
 /// Duties that one daemon at a time carries out for the deployment by calls to the platform.
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -17,6 +17,13 @@
 /// is believed to be at the moment.
 constexpr double kSafeShare = 0.6;
 
+/// Of the kernel, for bytes of one caller that are not read yet; it keeps twice as many.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+/// The part of the budget of bodies whose size those may have in the kernel that wait for room.
+constexpr std::uint64_t kWaitingShare = 8;
+constexpr std::size_t kLeastWaiting = 16;
+constexpr std::size_t kMostWaiting = 256;
+
 RetryBudgetOptions secondSendOptions(const SecondSendSettings &settings, std::size_t daemons)
 {
     const auto window = std::chrono::duration<double>(settings.window).count();
@@ -43,6 +50,17 @@
     options.maxBodyBytes = limits.bodyBytes;
     options.headerTimeout = limits.headerTimeout;
     options.idleTimeout = limits.idleTimeout;
+    options.receiveBufferBytes = kReceiveBufferBytes;
+    return options;
+}
+
+http::MemoryOptions memoryOptions(const InstanceLimits &limits)
+{
+    http::MemoryOptions options;
+    options.budget = limits.bufferBytes();
+    // Each body that waits leaves up to twice kReceiveBufferBytes in the kernel.
+    const auto waiting = options.budget / kWaitingShare / (2 * kReceiveBufferBytes);
+    options.maxWaiting = std::clamp<std::size_t>(waiting, kLeastWaiting, kMostWaiting);
     return options;
 }
 
@@ -65,12 +83,15 @@
     if (!server.ok()) {
         return server.status();
     }
+    (*server)->setMemory(self->m_memory);
     traffic->m_server = *server;
     return traffic;
 }
 
 GatewayTraffic::GatewayTraffic(const GatewayShared &shared, std::uint64_t seed)
     : m_shared(shared),
+      m_memoryMetrics(shared.clock, shared.metrics, shared.settings.limits.bufferBytes()),
+      m_memory(shared.clock, memoryOptions(shared.settings.limits)),
       m_io(std::make_unique<boost::asio::io_context>(1)),
       m_work(boost::asio::make_work_guard(*m_io)),
       m_random(seed),
@@ -84,6 +105,7 @@
       m_rollouts(*m_io, shared.clock, shared.settings.instance.id, seed, exposureLimit(shared.settings), shared.metrics,
                  m_random)
 {
+    m_memory.setObserver(&m_memoryMetrics);
     connectNotices();
 }
 
@@ -97,10 +119,12 @@
 
 void GatewayTraffic::makeContext()
 {
-    m_context = std::make_unique<ForwardContext>(ForwardContext{
-        *m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector, m_notices, m_crashes,
-        m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics, m_affinities,
-        m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
+    m_context = std::make_unique<ForwardContext>(
+        ForwardContext{*m_io,     m_shared.clock, m_shared.protocol, m_shared.views,
+                       m_pool,    *m_router,      m_selector,        m_notices,
+                       m_crashes, m_quarantine,   m_secondSends,     secondSendOptions(m_secondSendSettings, 1),
+                       m_usual,   m_metrics,      m_affinities,      m_rollouts,
+                       m_random,  m_stop,         m_memory,          m_shared.settings.instance.zone});
 }
 
 GatewayTraffic::~GatewayTraffic()
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/memory_metrics.h"
 #include "gateway/stage_router.h"
 
 #include <absl/status/statusor.h>
@@ -85,6 +86,8 @@
     void setStages(const GatewayView &view);
 
     const GatewayShared m_shared;
+    MemoryMetrics m_memoryMetrics;
+    http::MemoryAccount m_memory;
     std::unique_ptr<boost::asio::io_context> m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     Random m_random;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -30,6 +30,9 @@
 constexpr std::size_t kReadSize = std::size_t(16) * 1024;
 constexpr std::uint32_t kMaxHeadBytes = std::uint32_t(8) * 1024;
 constexpr std::size_t kMaxFramingBytes = std::size_t(16) * 1024; ///< Of a chunk's header, or of the trailer.
+/// Of the kernel, for bytes that are not read yet: they count against the process's memory. Twice
+/// this many are kept, as much as 10 Mbit/s bring in 100 ms.
+constexpr int kReceiveBufferBytes = 64 * 1024;
 constexpr int kMaxInterimAnswers = 8; ///< Answers with status 1xx before the final one.
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kSwitchingProtocols = 101; ///< The only status below that no other answer follows.
@@ -48,6 +51,7 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
     socket.set_option(asio::socket_base::keep_alive(true), ec);
     socket.set_option(KeepIdle(countOf<std::chrono::seconds>(silence.idle)), ec);
     socket.set_option(KeepInterval(countOf<std::chrono::seconds>(silence.interval)), ec);
@@ -207,7 +211,8 @@
     return ec;
 }
 
-Awaitable<absl::StatusOr<std::string>> ClientConnection::readRest(Duration timeout, std::uint64_t maxBytes)
+Awaitable<absl::StatusOr<std::string>> ClientConnection::readRest(Duration timeout, std::uint64_t maxBytes,
+                                                                  MemoryHold *hold)
 {
     if (!m_parser->is_done() && m_parser->content_length_remaining().value_or(0) > maxBytes) {
         co_return failed(Step::Receive, beast::http::error::body_limit);
@@ -216,9 +221,15 @@
     std::string whole;
     while (!m_parser->is_done()) {
         auto data = co_await readSomeUntil(end);
-        if (!data.ok()) {
+        const bool ended = hold != nullptr && hold->ended();
+        if (!data.ok() && !ended) {
             co_return data.status();
         }
+        if (ended || (hold != nullptr && !hold->grow(data->size()))) {
+            static_cast<void>(failed(Step::Receive, beast::http::error::body_limit));
+            co_return errorAt(absl::StatusCode::kResourceExhausted, Step::Receive, m_peer.str(),
+                              "there is no memory for the answer");
+        }
         whole += *data;
         if (whole.size() > maxBytes) {
             co_return failed(Step::Receive, beast::http::error::body_limit);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/memory_account.h"
 #include "http/message.h"
 #include "mimosahub/endpoint.h"
 #include "mimosahub/error.h"
@@ -48,8 +49,10 @@
     /// As readSome(), but absent, with a connection that can still be read, if nothing
     /// of the body comes for \a patience.
     Awaitable<absl::StatusOr<std::optional<std::string>>> readSomeWithin(Duration patience);
-    /// Reads the rest of the body, of at most \a maxBytes, within \a timeout.
-    Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes);
+    /// Reads the rest of the body, of at most \a maxBytes, within \a timeout. \a hold, if any, keeps account of
+    /// it; if that has no room or is ended, the read ends with ResourceExhausted.
+    Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes,
+                                                    MemoryHold *hold = nullptr);
     /// Reads a whole answer, of at most \a maxBytes of body, within \a timeout.
     Awaitable<absl::StatusOr<Response>> readAnswer(Duration timeout, std::uint64_t maxBytes);
     /// Sends \a request and reads its whole answer, as readAnswer().
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -111,6 +111,15 @@
         || !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(text), "chunked");
 }
 
+/// Frees what was read of a request that is refused: its connection stays for kLingerTime.
+void drop(BodyReader::Parser &parser, beast::flat_buffer &buffer, MemoryHold &hold)
+{
+    std::string().swap(parser.get().body());
+    buffer.clear();
+    buffer.shrink_to_fit();
+    hold.shrinkTo(0);
+}
+
 Reason unreadableReason(boost::system::error_code ec)
 {
     if (ec == beast::http::error::header_limit || ec == beast::http::error::buffer_overflow) {
@@ -128,7 +137,8 @@
 }
 
 /// Binds with SO_REUSEPORT, so that each traffic thread has its own queue of connections.
-boost::system::error_code openAcceptor(tcp::acceptor &acceptor, const tcp::endpoint &endpoint)
+/// A size of the receive buffers other than 0 holds for the connections that are accepted.
+boost::system::error_code openAcceptor(tcp::acceptor &acceptor, const tcp::endpoint &endpoint, int receiveBufferBytes)
 {
     boost::system::error_code ec;
     acceptor.open(endpoint.protocol(), ec);
@@ -138,6 +148,9 @@
     acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
     using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
     acceptor.set_option(ReusePort(true), ec);
+    if (receiveBufferBytes > 0) {
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ec);
+    }
     acceptor.bind(endpoint, ec);
     if (ec) {
         return ec;
@@ -229,7 +242,7 @@
         return listenError(address, ec);
     }
     std::shared_ptr<Server> server(new Server(io, options, std::move(handler)));
-    ec = openAcceptor(server->m_acceptor, tcp::endpoint(ip, address.port));
+    ec = openAcceptor(server->m_acceptor, tcp::endpoint(ip, address.port), options.receiveBufferBytes);
     if (ec) {
         return listenError(address, ec);
     }
@@ -387,12 +400,21 @@
     if (!ec && hasUnknownEnd(parser.get())) {
         ec = beast::http::make_error_code(beast::http::error::bad_transfer_encoding);
     }
-    if (!ec && !parser.is_done()) {
-        stream.expires_after(m_options.messageTimeout);
-        const auto [bodyError, bodyBytes] = co_await beast::http::async_read(stream, buffer, parser, kTuple);
-        ec = bodyError;
+    // Bodies that are ended in favour of others are told so: the end of the read wakes their reader.
+    MemoryHold hold(*m_memory, MemoryUse::Body, [&stream] { stream.cancel(); });
+    if (!ec) {
+        const BodyReaderOptions options{{.total = m_options.messageTimeout, .pause = m_options.bodyPause},
+                                        m_options.admissionWait};
+        BodyReader body(stream, buffer, parser, *m_memory, hold, m_clock, options);
+        ec = co_await body.read();
+        if (body.refusal()) {
+            drop(parser, buffer, hold);
+            co_await reject(stream, *body.refusal());
+            co_return false;
+        }
     }
     if (ec) {
+        drop(parser, buffer, hold);
         co_await rejectUnreadable(stream, ec);
         co_return false;
     }
@@ -410,9 +432,18 @@
         co_return;
     }
     ++m_counters.malformed;
-    const auto refusal = makeRefusal(unreadableReason(ec), ec.message(), Step::Parse);
+    co_await reject(stream, makeRefusal(unreadableReason(ec), ec.message(), Step::Parse));
+}
+
+/// Answers a request of which not all was read, and ends its connection.
+Awaitable<void> Server::reject(beast::tcp_stream &stream, Refusal refusal)
+{
     auto response = makeResponse(httpStatus(refusal), kJsonType, refusalBody(refusal, ""));
     response.set(toBeast(kOutcomeHeader), toBeast(outcomeName(refusal.outcome)));
+    if (refusal.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter).count();
+        response.set(beast::http::field::retry_after, std::to_string(seconds));
+    }
     response.keep_alive(false);
     response.prepare_payload();
     stream.expires_after(m_options.messageTimeout);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/body_reader.h"
+#include "http/memory_account.h"
 #include "http/message.h"
 #include "mimosahub/endpoint.h"
 
@@ -25,6 +27,10 @@
     /// For the first byte of a new connection, reading one request, or writing one
     /// piece of an answer.
     Duration messageTimeout = std::chrono::seconds(10);
+    Duration bodyPause = std::chrono::seconds(5); ///< Longest time without a byte within a body.
+    Duration admissionWait = std::chrono::seconds(2); ///< For which a large body waits for memory.
+    /// Of the kernel, for bytes that are not read yet; 0: the system's, which grows with the sender's rate.
+    int receiveBufferBytes = 0;
 };
 
 /// Counters of a server, readable from any thread.
@@ -48,6 +54,11 @@
     {
         return m_request;
     }
+    /// The request's body, which may be lent to the call that carries it on.
+    [[nodiscard]] std::string &body()
+    {
+        return m_request.body();
+    }
     [[nodiscard]] bool answered() const
     {
         return m_answered;
@@ -126,6 +137,12 @@
     void stopAccepting();
     /// Ends each connection with the next answer that begins.
     void drain();
+    /// Makes \a account keep the memory of bodies. To be called before start(); it must outlive the
+    /// server's connections.
+    void setMemory(MemoryAccount &account)
+    {
+        m_memory = &account;
+    }
     /// Bounds requests that begin from now on, and the time for which connections that
     /// are idle already stay open.
     void setLimits(const ServerOptions &options)
@@ -149,13 +166,19 @@
     static Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
     Awaitable<void> runHandler(Exchange &exchange);
     Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    Awaitable<std::optional<Refusal>> readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                               BodyReader::Parser &parser, MemoryHold &hold);
     Awaitable<void> rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec);
+    Awaitable<void> reject(beast::tcp_stream &stream, Refusal refusal);
 
     asio::io_context &m_io;
     ServerOptions m_options;
     Handler m_handler;
     asio::ip::tcp::acceptor m_acceptor;
     ServerCounters m_counters;
+    SystemClock m_clock;
+    MemoryAccount m_unlimited{m_clock, {}};
+    MemoryAccount *m_memory = &m_unlimited;
     std::atomic<bool> m_draining{false};
 };
 
