Close idle connections to ended endpoints, and bound descriptors by the settings

After some 60 replacements of endpoints a daemon had no descriptor left and answered nothing. Idle connections were dropped only by a later call to the same address, and callers had 4,096 connections whatever the process may open.

At the limit a new caller's connection replaces the longest-idle one, but none on which the next request has begun to arrive.

--- a/src/daemon/control_thread.cc
+++ b/src/daemon/control_thread.cc
@@ -99,6 +99,7 @@
 void ControlThread::start()
 {
     m_log.addListener([this](const FollowerStep &step) { stateChanged(step); });
+    m_pool.startSweeping();
     m_log.start();
     m_peers->start();
     m_orders->start();
--- a/src/daemon/traffic_thread.cc
+++ b/src/daemon/traffic_thread.cc
@@ -81,7 +81,7 @@
     // Requests still open are coroutines held by m_io. They use the other members
     // when they are dropped, so m_io goes before those, and what uses it before it.
     m_server.reset();
-    m_pool.clear();
+    m_pool.stop();
     m_io.reset();
 }
 
@@ -98,6 +98,7 @@
 void TrafficThread::start()
 {
     m_server->start();
+    m_pool.startSweeping();
     m_thread = std::thread([this] { m_io->run(); });
 }
 
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -110,6 +110,7 @@
 
 void GatewayControl::start()
 {
+    m_pool.startSweeping();
     m_operators.start();
     m_endpoints.start();
     m_daemons.start();
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -3,10 +3,13 @@
 
 #include "gateway/gateway_traffic.h"
 
+#include "gateway/descriptor_shares.h"
 #include "http/event_loop.h"
 
 #include <boost/asio/post.hpp>
 
+#include <set>
+
 namespace mimosahub
 {
 
@@ -36,9 +39,10 @@
     return ExposureLimit{settings.rollouts->exposureShare, settings.rollouts->exposureSlack};
 }
 
-http::ServerOptions serverOptions(const CallerLimits &limits)
+http::ServerOptions serverOptions(const CallerLimits &limits, const DescriptorShares &shares)
 {
     http::ServerOptions options;
+    options.maxConnections = shares.callers;
     options.maxHeaderBytes = limits.headerBytes;
     options.maxBodyBytes = limits.bodyBytes;
     options.headerTimeout = limits.headerTimeout;
@@ -46,6 +50,13 @@
     return options;
 }
 
+http::PoolOptions poolOptions(const DescriptorShares &shares)
+{
+    http::PoolOptions options;
+    options.maxIdleTotal = shares.idleToEndpoints;
+    return options;
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<GatewayTraffic>> GatewayTraffic::create(const GatewayShared &shared, std::uint64_t seed)
@@ -60,7 +71,8 @@
     self->m_router = std::move(*router);
     self->m_router->setNotices(self->m_notices);
     self->makeContext();
-    auto server = http::Server::listen(*self->m_io, shared.settings.listen.callers, serverOptions({}),
+    auto server = http::Server::listen(*self->m_io, shared.settings.listen.callers,
+                                       serverOptions({}, DescriptorShares::of(shared.settings.limits.descriptors)),
                                        [self](http::Exchange &exchange) { return self->handle(exchange); });
     if (!server.ok()) {
         return server.status();
@@ -74,7 +86,7 @@
       m_io(std::make_unique<boost::asio::io_context>(1)),
       m_work(boost::asio::make_work_guard(*m_io)),
       m_random(seed),
-      m_pool(*m_io, shared.clock, {}),
+      m_pool(*m_io, shared.clock, poolOptions(DescriptorShares::of(shared.settings.limits.descriptors))),
       m_notices(shared.clock, m_random, shared.metrics),
       m_stages(*m_io, shared.clock, shared.protocol, m_pool, m_notices, shared.metrics),
       m_crashes(*m_io, shared.clock, m_pool, shared.metrics),
@@ -112,13 +124,14 @@
     m_quarantine.stop();
     m_stages.stop();
     m_router.reset();
-    m_pool.clear();
+    m_pool.stop();
     m_io.reset();
 }
 
 void GatewayTraffic::start()
 {
     m_server->start();
+    m_pool.startSweeping();
     m_thread = std::thread([this] { http::runEventLoop(*m_io, "traffic"); });
 }
 
@@ -197,7 +210,21 @@
     m_rollouts.setView(view);
     setStages(view);
     applyRests();
-    m_server->setLimits(serverOptions(view.configuration->parts().limits));
+    closeUnlisted(view);
+    m_server->setLimits(
+        serverOptions(view.configuration->parts().limits, DescriptorShares::of(m_shared.settings.limits.descriptors)));
+}
+
+// An endpoint that has ended or leaves is called no more.
+void GatewayTraffic::closeUnlisted(const GatewayView &view)
+{
+    std::set<Address> called;
+    for (const auto &endpoint : view.endpoints) {
+        if (!endpoint.info.leaving) {
+            called.insert(endpoint.info.address);
+        }
+    }
+    m_pool.retain(called);
 }
 
 // An endpoint whose entry was missing for a while is new to those that choose.
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -75,6 +75,7 @@
     http::Awaitable<void> handle(http::Exchange &exchange);
     void makeContext();
     void takeView();
+    void closeUnlisted(const GatewayView &view);
     void connectNotices();
     /// The view with what its endpoints have said of themselves since.
     [[nodiscard]] GatewayView noticedView();
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -5,6 +5,7 @@
 #include "gateway/stage_router.h"
 
 #include "base/log.h"
+#include "gateway/descriptor_shares.h"
 
 #include <boost/asio/post.hpp>
 
@@ -33,6 +34,7 @@
     options.listen = settings.listen.peers;
     options.callTimeout = std::chrono::milliseconds(500);
     options.outstandingCalls = 10'000;
+    options.maxConnections = DescriptorShares::of(settings.limits.descriptors).peers;
     return options;
 }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -66,6 +66,9 @@
     if (ec == asio::error::connection_refused) {
         return absl::StatusCode::kNotFound;
     }
+    if (ec == asio::error::no_descriptors) {
+        return absl::StatusCode::kResourceExhausted;
+    }
     using Error = beast::http::error;
     if (ec == Error::header_limit || ec == Error::body_limit) {
         return absl::StatusCode::kResourceExhausted;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,7 +31,8 @@
 public:
     ClientConnection(asio::io_context &io, Address peer, const SilenceOptions &silence = {});
 
-    /// Connects within \a timeout. Error: NotFound if the peer refuses connections.
+    /// Connects within \a timeout. Errors: NotFound if the peer refuses connections,
+    /// ResourceExhausted if the process has no descriptor left.
     Awaitable<absl::Status> connect(Duration timeout);
     /// Writes \a request and begins a call, which ends within \a timeout: no read
     /// of its answer goes on after that, whatever that read may take by itself.
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace mimosahub::http
 {
@@ -18,6 +19,9 @@
     Duration maxIdle = std::chrono::seconds(4); ///< Older idle connections may have gone silent and are dropped.
     Duration provenAge = std::chrono::milliseconds(500); ///< Idle at most this long counts as proven.
     std::size_t maxIdlePerPeer = 64;
+    std::size_t maxIdleTotal = 1024; ///< Over all peers; beyond it the longest-idle connection is closed.
+    Duration sweepInterval = std::chrono::milliseconds(250); ///< Between two sweeps of idle connections.
+    std::size_t maxLooksPerSweep = 64; ///< Each look at a connection is a system call.
     SilenceOptions silence;
 };
 
@@ -40,6 +44,18 @@
     void clear()
     {
         m_idle.clear();
+        m_idleCount = 0;
+    }
+    /// Closes the idle connections to all peers but \a peers.
+    void retain(const std::set<Address> &peers);
+    /// From now on closes idle connections that are too old or that their peer has closed.
+    void startSweeping();
+    /// Ends the sweeps and closes all idle connections; to be called before the io context
+    /// ends, if that ends before this object.
+    void stop();
+    [[nodiscard]] std::size_t idleCount() const
+    {
+        return m_idleCount;
     }
 
     /// Sends one request and reads its whole answer, of at most \a maxBytes of body,
@@ -52,13 +68,25 @@
         std::unique_ptr<ClientConnection> connection;
         TimePoint since;
     };
+    using IdleByPeer = std::map<Address, std::deque<Idle>>;
+
     Awaitable<absl::StatusOr<std::unique_ptr<ClientConnection>>> connect(Address peer);
     std::unique_ptr<ClientConnection> takeIdle(const Address &peer, Duration maxAge);
+    void dropPeer(const Address &peer);
+    void dropTooOld(std::deque<Idle> &idle);
+    void dropClosed(std::deque<Idle> &idle);
+    void dropLongestIdle();
+    void armSweep();
+    void sweep();
 
     asio::io_context &m_io;
     const Clock &m_clock;
     PoolOptions m_options;
-    std::map<Address, std::deque<Idle>> m_idle;
+    IdleByPeer m_idle;
+    std::size_t m_idleCount = 0;
+    Address m_sweptPeer; ///< The last one whose connections were looked at.
+    std::optional<asio::steady_timer> m_sweepTimer; ///< Absent unless sweeping.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Tells handlers whether this object exists.
 };
 
 } // namespace mimosahub::http
--- a/src/http/idle_watch.h
+++ b/src/http/idle_watch.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <list>
 #include <memory>
 
 namespace mimosahub::http
@@ -25,6 +26,7 @@
 
     void start()
     {
+        m_ended = false;
         m_waited = m_limit;
         m_timer.expires_after(m_waited);
         wait();
@@ -34,6 +36,22 @@
         ++m_round;
         m_timer.cancel();
     }
+    /// Ends the wait, unless bytes of the next request have come; true if it did.
+    bool endUnlessReadable()
+    {
+        if (stateOf(m_socket) == SocketState::Readable) {
+            return false;
+        }
+        m_ended = true;
+        boost::system::error_code ec;
+        m_socket.cancel(ec);
+        return true;
+    }
+    /// Whether the present wait was ended, so that its read ends soon.
+    [[nodiscard]] bool ended() const
+    {
+        return m_ended;
+    }
 
 private:
     void wait()
@@ -50,17 +68,67 @@
             m_timer.expires_at(m_timer.expiry() + (m_limit - m_waited));
             m_waited = m_limit;
             wait();
-        } else if (stateOf(m_socket) != SocketState::Readable) { // Otherwise its read is about to end.
-            boost::system::error_code ec;
-            m_socket.cancel(ec);
+        } else {
+            endUnlessReadable(); // If there are bytes, its read is about to end.
         }
     }
 
     asio::ip::tcp::socket &m_socket;
     const Duration &m_limit;
     asio::steady_timer m_timer;
+    bool m_ended = false;
     Duration m_waited{}; ///< The limit that the timer waits for.
     std::uint64_t m_round = 0; ///< A timer that has expired can't be cancelled any more.
 };
 
+/// The connections of a server that wait for their next request, the longest-idle first.
+class IdleConnections
+{
+public:
+    /// One connection's place; it is idle for as long as this lives.
+    class Place
+    {
+    public:
+        /// Both arguments must outlive this object.
+        Place(IdleConnections &connections, IdleWatch &watch)
+            : m_watches(connections.m_watches), m_place(m_watches.insert(m_watches.end(), &watch))
+        {
+        }
+        ~Place()
+        {
+            m_watches.erase(m_place);
+        }
+        Place(const Place &) = delete;
+        Place &operator=(const Place &) = delete;
+
+    private:
+        std::list<IdleWatch *> &m_watches;
+        std::list<IdleWatch *>::iterator m_place;
+    };
+
+    /// Ends the wait of the longest-idle connection of which no byte of the next request
+    /// has come; false if there is none among those that are looked at.
+    bool endLongest()
+    {
+        int looks = 0;
+        for (auto *watch : m_watches) {
+            if (watch->ended()) {
+                continue;
+            }
+            if (watch->endUnlessReadable()) {
+                return true;
+            }
+            if (++looks == kMaxLooks) {
+                return false;
+            }
+        }
+        return false;
+    }
+
+private:
+    static constexpr int kMaxLooks = 16; ///< Each is a system call.
+
+    std::list<IdleWatch *> m_watches;
+};
+
 } // namespace mimosahub::http
--- a/src/http/kept_connection_test.cc
+++ b/src/http/kept_connection_test.cc
@@ -29,9 +29,10 @@
 class SteppedServer
 {
 public:
-    explicit SteppedServer(Duration idleTimeout)
+    explicit SteppedServer(Duration idleTimeout, std::size_t maxConnections = 100)
     {
         m_options.idleTimeout = idleTimeout;
+        m_options.maxConnections = maxConnections;
         m_server =
             *Server::listen(m_io, {"127.0.0.1", 0}, m_options, [this](Exchange &exchange) { return handle(exchange); });
         m_server->start();
@@ -188,3 +189,44 @@
         cr_assert(contains(next, "Connection: close") && caller.closed(), "%s", next.c_str());
     }
 }
+
+// At the limit, each further connection was closed at once, while others stood idle.
+Test(kept_connection, gives_up_the_longest_idle_connection_for_a_new_one_at_the_limit)
+{
+    SteppedServer server(10s, 2);
+    KeptCaller oldest(server.port());
+    KeptCaller second(server.port());
+    for (auto *caller : {&oldest, &second}) {
+        caller->send("/");
+        server.run(kTurn);
+        cr_assert(contains(caller->received(), "whole"));
+    }
+    KeptCaller third(server.port());
+    third.send("/");
+    server.run(kTurn);
+    cr_assert(contains(third.received(), "whole"));
+    cr_assert(oldest.received().empty() && oldest.closed());
+    cr_assert(second.received().empty() && !second.closed());
+}
+
+// A caller whose request has begun to arrive can't know whether it ran if its connection is closed.
+Test(kept_connection, gives_up_no_connection_on_which_a_request_runs_or_begins_to_arrive)
+{
+    SteppedServer server(10s, 2);
+    KeptCaller first(server.port());
+    KeptCaller second(server.port());
+    for (auto *caller : {&first, &second}) {
+        caller->send("/");
+        server.run(kTurn);
+        cr_assert(contains(caller->received(), "whole"));
+    }
+    // Both come before the server's next turn.
+    KeptCaller third(server.port());
+    third.send("/");
+    first.send("/");
+    second.send("/slow");
+    server.run(kTurn);
+    cr_assert(contains(first.received(), "whole") && !first.closed());
+    server.run(kUntilSlowEnds);
+    cr_assert(contains(second.received(), "whole") && !second.closed());
+}
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -52,6 +52,7 @@
 
 /// Pause after a failed accept, for example when descriptors run out.
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+constexpr int kFreedForAccept = 8; ///< Idle connections that are closed after an accept without a descriptor.
 
 /// Completes when the caller has closed its side.
 Awaitable<void> waitForClose(beast::tcp_stream &stream)
@@ -216,10 +217,16 @@
 }
 
 Server::Server(asio::io_context &io, ServerOptions options, Handler handler)
-    : m_io(io), m_options(options), m_handler(std::move(handler)), m_acceptor(io)
+    : m_io(io),
+      m_options(options),
+      m_handler(std::move(handler)),
+      m_acceptor(io),
+      m_idle(std::make_unique<IdleConnections>())
 {
 }
 
+Server::~Server() = default;
+
 absl::StatusOr<std::shared_ptr<Server>> Server::listen(asio::io_context &io, const Address &address,
                                                        ServerOptions options, Handler handler)
 {
@@ -277,6 +284,9 @@
             co_return;
         }
         if (ec) {
+            for (int i = 0; ec == asio::error::no_descriptors && i < kFreedForAccept; ++i) {
+                giveUpIdle();
+            }
             asio::steady_timer timer(m_io, kAcceptPause);
             co_await timer.async_wait(kTuple);
             continue;
@@ -285,9 +295,20 @@
     }
 }
 
+bool Server::giveUpIdle()
+{
+    const bool ended = m_idle->endLongest();
+    if (ended && m_counters.givenUp++ == 0) {
+        logEvent(LogLevel::Warning, "connection-limit")
+            .with("open", m_counters.open.load())
+            .with("limit", m_options.maxConnections);
+    }
+    return ended;
+}
+
 void Server::startServing(tcp::socket socket)
 {
-    if (m_counters.open >= m_options.maxConnections) {
+    if (m_counters.open >= m_options.maxConnections && !giveUpIdle()) {
         ++m_counters.refusedConnections;
         return;
     }
@@ -339,9 +360,14 @@
         co_return true;
     }
     stream.expires_never();
+    const IdleConnections::Place place(*m_idle, idle);
     idle.start();
-    const bool came = co_await readSome(stream, buffer);
+    bool came = co_await readSome(stream, buffer);
     idle.stop();
+    // Its next request may have begun to arrive since the wait was ended.
+    if (!came && idle.ended() && stateOf(stream.socket()) == SocketState::Readable) {
+        came = co_await readSome(stream, buffer);
+    }
     co_return came;
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -19,7 +19,7 @@
 struct ServerOptions {
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = std::uint64_t(1024) * 1024;
-    std::size_t maxConnections = 4096;
+    std::size_t maxConnections = 4096; ///< At the limit, a new one replaces the longest-idle one.
     Duration idleTimeout = std::chrono::seconds(60); ///< Between requests of one connection.
     Duration headerTimeout = std::chrono::seconds(10); ///< From a request's first byte to the end of its header.
     /// For the first byte of a new connection, reading one request, or writing one
@@ -30,7 +30,8 @@
 /// Counters of a server, readable from any thread.
 struct ServerCounters {
     std::atomic<std::uint64_t> accepted{0};
-    std::atomic<std::uint64_t> refusedConnections{0}; ///< Above maxConnections.
+    std::atomic<std::uint64_t> refusedConnections{0}; ///< Above maxConnections, with no idle one to close.
+    std::atomic<std::uint64_t> givenUp{0}; ///< Idle connections that were closed for a new one.
     std::atomic<std::uint64_t> malformed{0}; ///< Requests that could not be read.
     std::atomic<std::uint64_t> failed{0}; ///< Requests whose handler ended by an exception.
     std::atomic<std::uint64_t> open{0};
@@ -106,6 +107,7 @@
 };
 
 class IdleWatch;
+class IdleConnections;
 
 /// Answers one request. It is cancelled when the caller closes its connection.
 using Handler = std::function<Awaitable<void>(Exchange &)>;
@@ -119,6 +121,8 @@
     static absl::StatusOr<std::shared_ptr<Server>> listen(asio::io_context &io, const Address &address,
                                                           ServerOptions options, Handler handler);
 
+    ~Server();
+
     /// Starts accepting.
     void start();
     /// Stops accepting, after taking what has connected already; open connections
@@ -146,7 +150,9 @@
     Awaitable<void> serve(asio::ip::tcp::socket socket, std::unique_ptr<BusyMark> busy);
     static Awaitable<bool> readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer);
     Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer);
-    static Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
+    /// Closes the longest-idle connection; false if none is idle.
+    bool giveUpIdle();
+    Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
     Awaitable<void> runHandler(Exchange &exchange);
     Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
     Awaitable<void> rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec);
@@ -156,6 +162,7 @@
     Handler m_handler;
     asio::ip::tcp::acceptor m_acceptor;
     ServerCounters m_counters;
+    std::unique_ptr<IdleConnections> m_idle;
     std::atomic<bool> m_draining{false};
 };
 
