End a call whose answer has an invalid status

Callers got endpoints' answers with status 101 and 600 to 999; one with status 000 to 099 was taken for an interim answer, and what followed for the final one. Such a status now ends the connection, as any broken answer does.

A part of an early answer before a reset during the upload was no whole answer before either; a test now holds that.

Evidence: client/ends_a_call_whose_status_is_none_of_a_final_answer fails on the code before (statuses 000, 101, 600, 999 and others); client/a_reset_during_a_long_upload_gives_no_part_of_an_early_answer passes on it.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -31,8 +31,10 @@
 constexpr std::uint32_t kMaxHeadBytes = std::uint32_t(8) * 1024;
 constexpr std::size_t kMaxFramingBytes = std::size_t(16) * 1024; ///< Of a chunk's header, or of the trailer.
 constexpr int kMaxInterimAnswers = 8; ///< Answers with status 1xx before the final one.
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kSwitchingProtocols = 101; ///< The only status below that no other answer follows.
+constexpr unsigned kLastStatus = 599; ///< RFC 9110, 15: others are invalid.
+constexpr unsigned kSwitchingProtocols = 101; ///< Answers a wish for it, which no call has.
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
@@ -76,9 +78,9 @@
     return absl::StatusCode::kUnavailable;
 }
 
-bool isInterim(unsigned status)
+bool isValid(unsigned status)
 {
-    return status < kFirstFinalStatus && status != kSwitchingProtocols;
+    return status >= kFirstStatus && status <= kLastStatus && status != kSwitchingProtocols;
 }
 
 } // namespace
@@ -152,7 +154,11 @@
         if (ec) {
             co_return failed(Step::Receive, ec);
         }
-        if (!isInterim(m_parser->get().result_int())) {
+        const auto status = m_parser->get().result_int();
+        if (!isValid(status)) {
+            co_return failed(Step::Receive, beast::http::error::bad_status);
+        }
+        if (status >= kFirstFinalStatus) {
             co_return Response(m_parser->get().base());
         }
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,7 +38,8 @@
     /// of its answer goes on after that, whatever that read may take by itself.
     /// Once it has begun, bytes may have reached the peer.
     Awaitable<absl::Status> send(Request &request, Duration timeout);
-    /// Reads the final answer's header; interim ones are passed over.
+    /// Reads the final answer's header; interim ones are passed over. A status that no
+    /// answer to a call can have ends the connection.
     Awaitable<absl::StatusOr<Response>> readHeader(Duration timeout);
     /// Reads more of the body: all bytes that have come, at least one, or empty at
     /// the end of the answer.
--- a/src/http/client_test.cc
+++ b/src/http/client_test.cc
@@ -79,27 +79,28 @@
     co_await socket.async_wait(tcp::socket::wait_read, kTuple);
 }
 
-Awaitable<void> callOnce(asio::io_context &io, std::uint16_t port, CallEnd &end)
+Awaitable<void> callOnce(asio::io_context &io, std::uint16_t port, std::string body, CallEnd &end)
 {
     ClientConnection connection(io, {"127.0.0.1", port});
     cr_assert((co_await connection.connect(kTestEnd)).ok());
     const SystemClock clock;
     const auto begin = clock.now();
-    Request request(beast::http::verb::get, "/", 11);
+    Request request(body.empty() ? beast::http::verb::get : beast::http::verb::post, "/", 11);
+    request.body() = std::move(body);
     end.answer = co_await connection.call(std::move(request), kCallTimeout, kMaxBody);
     end.time = clock.now() - begin;
     end.reusable = connection.reusable();
     end.ended = true;
 }
 
-CallEnd endOfCall(const Script &script)
+CallEnd endOfCall(const Script &script, std::string body = "")
 {
     asio::io_context io(1);
     tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
     CallEnd end;
     const auto rethrow = [](const std::exception_ptr &error) { cr_assert(!error); };
     asio::co_spawn(io, playScript(acceptor, script, end.sent), rethrow);
-    asio::co_spawn(io, callOnce(io, acceptor.local_endpoint().port(), end), rethrow);
+    asio::co_spawn(io, callOnce(io, acceptor.local_endpoint().port(), std::move(body), end), rethrow);
     io.run_for(kTestEnd);
     return end;
 }
@@ -171,6 +172,40 @@
     }
 }
 
+// Statuses that no final answer can have were passed on to callers, or taken for an interim answer
+// after which another one was awaited.
+Test(client, ends_a_call_whose_status_is_none_of_a_final_answer)
+{
+    for (const auto *status : {"000", "001", "099", "101", "600", "999", "20", "2000", "2x0", "-20", "+20"}) {
+        const auto head = absl::StrCat("HTTP/1.1 ", status, " x\r\n");
+        checkRefused(absl::StrCat("status ", status),
+                     {.begin = head + "Content-Length: 1\r\n\r\nx", .end = Script::End::Closed},
+                     absl::StatusCode::kUnavailable);
+        checkRefused(absl::StrCat("status ", status, " before a final answer"),
+                     {.begin = head + "\r\n" + kHead + "Content-Length: 1\r\n\r\nx"}, absl::StatusCode::kUnavailable);
+    }
+    for (const auto *status : {"200", "204", "304", "599"}) {
+        const auto end = endOfCall({.begin = absl::StrCat("HTTP/1.1 ", status, " x\r\nContent-Length: 0\r\n\r\n")});
+        cr_expect(end.answer.ok() && end.answer->result_int() == static_cast<unsigned>(std::stoi(status)), "%s",
+                  status);
+    }
+}
+
+// An answer without a length ends with its connection. A part of it is no whole answer if the
+// connection is reset, also where the write of the request is what meets the reset.
+Test(client, a_reset_during_a_long_upload_gives_no_part_of_an_early_answer)
+{
+    for (const std::size_t length : {std::size_t(10), std::size_t(64) << 10U, std::size_t(16) << 20U}) {
+        for (const auto end : {Script::End::Reset, Script::End::Closed}) {
+            Script script{.begin = kHead + "\r\npart of the body", .end = end};
+            const auto call = endOfCall(script, std::string(length, 'x'));
+            cr_expect(call.ended && !call.reusable);
+            const bool mayBeWhole = end == Script::End::Closed && length == 10;
+            cr_expect(mayBeWhole || !call.answer.ok(), "%zu bytes, end %d", length, static_cast<int>(end));
+        }
+    }
+}
+
 Test(client, passes_over_interim_answers)
 {
     const auto end = endOfCall({"HTTP/1.1 100 Continue\r\n\r\n"
