Let no older or startless entry replace what an endpoint said

After an entry without born under a leaving endpoint's key, daemons sent it bookings again: it counted as an entry of a new start that had said nothing. A late heartbeat made a draining endpoint ready, since seq and born were ignored.

NewestEntries judges each entry by its start and number. Where most entries tell a start, one that doesn't is not used; deployments whose entries never do work as before.

The new tests were not run on the code before.

--- a/src/forward/endpoint_directory.cc
+++ b/src/forward/endpoint_directory.cc
@@ -52,6 +52,11 @@
     for (const auto &[id, entry] : m_entries) {
         endpoints.push_back(entry.endpoint);
     }
+    const auto hasNoStart = [](const ListedEndpoint &endpoint) { return endpoint.startedAtMs == 0; };
+    const auto startless = std::count_if(endpoints.begin(), endpoints.end(), hasNoStart);
+    if (2 * static_cast<std::size_t>(startless) < endpoints.size()) {
+        std::erase_if(endpoints, hasNoStart);
+    }
     return endpoints;
 }
 
--- a/src/forward/endpoint_directory.h
+++ b/src/forward/endpoint_directory.h
@@ -11,7 +11,8 @@
 
 /// The endpoints that the store lists. An entry that lapsed during an outage of the
 /// store does not show that its endpoint is gone: it is kept for a grace period after
-/// the outage, in which a running endpoint lists itself again.
+/// the outage, in which a running endpoint lists itself again. Where most entries tell the
+/// start of their endpoint, one that doesn't comes from another writer and isn't listed.
 class EndpointDirectory
 {
 public:
@@ -33,6 +34,7 @@
     bool expire(TimePoint now);
     /// When expire() drops the next entry; absent if never.
     [[nodiscard]] std::optional<TimePoint> nextExpiry() const;
+    /// The endpoints that may be used, or are leaving.
     [[nodiscard]] std::vector<ListedEndpoint> list() const;
     [[nodiscard]] const ListedEndpoint *find(const EndpointId &id) const;
 
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -98,6 +98,8 @@
       m_expiryTimer(m_io),
       m_quarantineTimer(m_io),
       m_unreadable(metrics),
+      m_lateEntries(metrics.counter("mimosahub_endpoint_entries_late_total",
+                                    "Endpoints' entries that were older than what was known.")),
       m_storeFailures(metrics.counter("mimosahub_store_calls_failed_total", "Calls of the store that failed.")),
       m_version(metrics.gauge("mimosahub_configuration_version", "The configuration in force."))
 {
@@ -235,9 +237,19 @@
             logEvent(LogLevel::Info, "endpoint-gone").with("endpoint", id).with("service", known->info.service);
         }
         m_directory.remove(id, m_clock.now());
+        m_newest.remove(id, m_clock.now());
         return;
     }
     auto endpoint = m_documents.endpoint(change.key, *change.value);
+    const auto verdict = endpoint.ok() ? m_newest.take(*endpoint, m_clock.now()) : NewestEntries::Verdict::Newer;
+    if (verdict == NewestEntries::Verdict::Older) {
+        m_lateEntries.add();
+        return;
+    }
+    if (verdict == NewestEntries::Verdict::Startless) {
+        endpoint = errorAt(absl::StatusCode::kInvalidArgument, Step::Parse, "store",
+                           "an endpoint's entry lacks the time of its start, which earlier ones told");
+    }
     if (!endpoint.ok()) {
         m_unreadable.add(StoreTable::Endpoints, change.key, endpoint.status());
         m_directory.remove(id, m_clock.now());
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "follow/keyed_follower.h"
 #include "forward/endpoint_directory.h"
+#include "forward/newest_entries.h"
 #include "gateway/document_reader.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
@@ -96,6 +97,7 @@
     RolloutStatusLoop m_rollouts;
     QuarantineStoreLoop m_quarantines;
     EndpointDirectory m_directory;
+    NewestEntries m_newest; ///< Of endpoints.
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::map<std::string, ZoneId> m_closedZones; ///< By the key of the order.
     DaemonEntry m_self;
@@ -110,6 +112,7 @@
     bool m_quarantineWaitOver = false;
     std::atomic<bool> m_caughtUp{false};
     UnreadableDocuments m_unreadable;
+    Counter &m_lateEntries;
     Counter &m_storeFailures;
     Gauge &m_version;
     std::thread m_thread;
