--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -116,6 +116,32 @@
   startedAtMs @1 :Int64;
 }
 
+struct WorkspaceCount {
+  workspace @0 :Text;
+  count @1 :UInt64;
+}
+
+struct UsageWindow {
+  window @0 :Int64;
+  counts @1 :List(WorkspaceCount);
+}
+
+struct ZoneLoad {
+  service @0 :Text;
+  zone @1 :Text;
+  inFlight @2 :UInt64;
+}
+
+struct DutyReport {
+  source @0 :Text;
+  incarnation @1 :UInt64;
+  summed @2 :Bool;
+  windows @3 :List(UsageWindow);
+  loads @4 :List(ZoneLoad);
+  token @5 :UInt64;
+  zone @6 :Text;
+}
+
 interface StageProtocol {
   run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
@@ -124,4 +150,5 @@
   reportSplit @4 (report :SplitReport) -> (known :Bool, phase :UInt8, reason :Text);
   exchangeQuarantines @5 (message :QuarantineMessage) -> (message :QuarantineMessage);
   tellLeaving @6 (endpoints :List(EndpointStart)) -> ();
+  reportDuties @7 (report :DutyReport) -> (incarnation :UInt64, token :UInt64);
 }
--- a/src/peer/stage_service.cc
+++ b/src/peer/stage_service.cc
@@ -4,6 +4,7 @@
 
 #include "peer/stage_service.h"
 
+#include "peer/duty_codec.h"
 #include "peer/quarantine_codec.h"
 #include "peer/rpc_thread.h"
 #include "peer/stage_codec.h"
@@ -136,6 +137,19 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> reportDuties(ReportDutiesContext context) override
+    {
+        auto report = readDutyReport(context.getParams().getReport());
+        return runOnExecutor<DutyReportAnswer>(
+                   m_executor, m_running,
+                   [this, report = std::move(report)]() { return m_handler.takeDutyReport(report); })
+            .then([context](const DutyReportAnswer &answer) mutable {
+                auto out = context.getResults();
+                out.setIncarnation(answer.incarnation);
+                out.setToken(answer.token);
+            });
+    }
+
 private:
     RpcExecutor m_executor;
     std::shared_ptr<bool> m_running; ///< Executor's thread only.
@@ -264,6 +278,18 @@
         m_thread.call<bool>(peer, send, [](const absl::StatusOr<bool> & /*result*/) {});
     }
 
+    void reportDuties(const Address &peer, DutyReport report, RpcCallback<DutyReportAnswer> done) override
+    {
+        const auto send = [report = std::move(report)](wire::StageProtocol::Client &protocol) {
+            auto call = protocol.reportDutiesRequest();
+            writeDutyReport(report, call.initReport());
+            return call.send().then([](auto response) {
+                return DutyReportAnswer{response.getIncarnation(), response.getToken()};
+            });
+        };
+        m_thread.call<DutyReportAnswer>(peer, send, std::move(done));
+    }
+
     [[nodiscard]] Address address() const override
     {
         return m_thread.address();
--- a/src/peer/stage_service.h
+++ b/src/peer/stage_service.h
@@ -2,6 +2,7 @@
 
 #include "follow/table_relay.h"
 #include "forward/batch_planner.h"
+#include "forward/duty_report.h"
 #include "forward/quarantine_news.h"
 #include "forward/split_judge.h"
 #include "peer/rpc_network.h"
@@ -58,6 +59,8 @@
     virtual QuarantineMessage takeQuarantines(const QuarantineMessage &message) = 0;
     /// Takes endpoints that have said that they are leaving.
     virtual void takeLeaving(const std::vector<EndpointStart> &endpoints) = 0;
+    /// Takes a report for the duties of the deployment.
+    virtual DutyReportAnswer takeDutyReport(const DutyReport &report) = 0;
 };
 
 /// Server and clients of the stage protocol.
@@ -96,6 +99,8 @@
                                      RpcCallback<QuarantineMessage> done) = 0;
     /// Tells \a peer of endpoints that have said that they are leaving.
     virtual void tellLeaving(const Address &peer, std::vector<EndpointStart> endpoints) = 0;
+    /// Reports to \a peer for the duties of the deployment.
+    virtual void reportDuties(const Address &peer, DutyReport report, RpcCallback<DutyReportAnswer> done) = 0;
     /// Address on which the service listens, with the port chosen by the system.
     [[nodiscard]] virtual Address address() const = 0;
     /// Closes all connections and ends the thread.
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -137,8 +137,15 @@
         leaving = endpoints;
     }
 
+    DutyReportAnswer takeDutyReport(const DutyReport &report) override
+    {
+        dutyReport = report;
+        return {7, 8};
+    }
+
     std::unique_ptr<StageService> service;
     std::vector<EndpointStart> leaving;
+    DutyReport dutyReport;
     std::vector<SplitReport> reports;
     std::vector<QuarantineMessage> messages;
     std::vector<ServiceId> services;
@@ -184,6 +191,25 @@
     caller.onThread([&] { call.reset(); });
 }
 
+Test(stage_service, a_report_for_duties_reaches_the_peer_whole)
+{
+    Node daemon;
+    Node peer;
+    DutyReport report{InstanceId("d1"), ZoneId("z1"), 5, true, {}, {}, 9};
+    report.windows[353'445'120][WorkspaceId("shop")] = 412;
+    report.windows[353'445'121] = {};
+    report.loads[{ServiceId("s"), ZoneId("z2")}] = 17;
+    std::promise<absl::StatusOr<DutyReportAnswer>> answered;
+    daemon.onThread([&] {
+        daemon.service->reportDuties(peer.service->address(), report,
+                                     [&](auto answer) { answered.set_value(std::move(answer)); });
+    });
+    const auto answer = answered.get_future().get();
+    cr_assert(answer.ok(), "%s", answer.status().ToString().c_str());
+    cr_assert(answer->incarnation == 7 && answer->token == 8);
+    peer.onThread([&] { cr_assert(peer.dutyReport == report); });
+}
+
 Test(stage_service, news_of_quarantines_reaches_the_peer_and_its_own_returns)
 {
     Node daemon;
--- a/src/wire/stage.capnp.cc
+++ b/src/wire/stage.capnp.cc
@@ -1488,7 +1488,352 @@
   0, 2, i_be28f81bc2312dac, nullptr, nullptr, { &s_be28f81bc2312dac, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<94> b_dc31c4e0e7d4eb1f = {
+static const ::capnp::_::AlignedData<49> b_925042059d86ee2a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     42, 238, 134, 157,   5,  66,  80, 146,
+     12,   0,   0,   0,   1,   0,   1,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 218,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  87, 111, 114, 107,
+    115, 112,  97,  99, 101,  67, 111, 117,
+    110, 116,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    119, 111, 114, 107, 115, 112,  97,  99,
+    101,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 117, 110, 116,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_925042059d86ee2a = b_925042059d86ee2a.words;
+#if !CAPNP_LITE
+static const uint16_t m_925042059d86ee2a[] = {1, 0};
+static const uint16_t i_925042059d86ee2a[] = {0, 1};
+const ::capnp::_::RawSchema s_925042059d86ee2a = {
+  0x925042059d86ee2a, b_925042059d86ee2a.words, 49, nullptr, m_925042059d86ee2a,
+  0, 2, i_925042059d86ee2a, nullptr, nullptr, { &s_925042059d86ee2a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<51> b_cba4da2b3c474f54 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     84,  79,  71,  60,  43, 218, 164, 203,
+     12,   0,   0,   0,   1,   0,   1,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  85, 115,  97, 103,
+    101,  87, 105, 110, 100, 111, 119,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+    119, 105, 110, 100, 111, 119,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 117, 110, 116, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     42, 238, 134, 157,   5,  66,  80, 146,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_cba4da2b3c474f54 = b_cba4da2b3c474f54.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_cba4da2b3c474f54[] = {
+  &s_925042059d86ee2a,
+};
+static const uint16_t m_cba4da2b3c474f54[] = {1, 0};
+static const uint16_t i_cba4da2b3c474f54[] = {0, 1};
+const ::capnp::_::RawSchema s_cba4da2b3c474f54 = {
+  0xcba4da2b3c474f54, b_cba4da2b3c474f54.words, 51, d_cba4da2b3c474f54, m_cba4da2b3c474f54,
+  1, 2, i_cba4da2b3c474f54, nullptr, nullptr, { &s_cba4da2b3c474f54, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<63> b_b16a3f28d977b68f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    143, 182, 119, 217,  40,  63, 106, 177,
+     12,   0,   0,   0,   1,   0,   1,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  90, 111, 110, 101,
+     76, 111,  97, 100,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    122, 111, 110, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  70, 108, 105, 103, 104, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b16a3f28d977b68f = b_b16a3f28d977b68f.words;
+#if !CAPNP_LITE
+static const uint16_t m_b16a3f28d977b68f[] = {2, 0, 1};
+static const uint16_t i_b16a3f28d977b68f[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_b16a3f28d977b68f = {
+  0xb16a3f28d977b68f, b_b16a3f28d977b68f.words, 63, nullptr, m_b16a3f28d977b68f,
+  0, 3, i_b16a3f28d977b68f, nullptr, nullptr, { &s_b16a3f28d977b68f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<131> b_dcb7dae3f3131bff = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    255,  27,  19, 243, 227, 218, 183, 220,
+     12,   0,   0,   0,   1,   0,   3,   0,
+     54,  24,  90,  79, 201, 208, 183, 226,
+      4,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 143,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  68, 117, 116, 121,
+     82, 101, 112, 111, 114, 116,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     28,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    181,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    188,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    185,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    184,   0,   0,   0,   3,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    193,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    188,   0,   0,   0,   3,   0,   1,   0,
+    200,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    197,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    192,   0,   0,   0,   3,   0,   1,   0,
+    220,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    217,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    212,   0,   0,   0,   3,   0,   1,   0,
+    240,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    237,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    232,   0,   0,   0,   3,   0,   1,   0,
+    244,   0,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    241,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    236,   0,   0,   0,   3,   0,   1,   0,
+    248,   0,   0,   0,   2,   0,   1,   0,
+    115, 111, 117, 114,  99, 101,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 117, 109, 109, 101, 100,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 105, 110, 100, 111, 119, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     84,  79,  71,  60,  43, 218, 164, 203,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 111,  97, 100, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    143, 182, 119, 217,  40,  63, 106, 177,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111, 107, 101, 110,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    122, 111, 110, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_dcb7dae3f3131bff = b_dcb7dae3f3131bff.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_dcb7dae3f3131bff[] = {
+  &s_b16a3f28d977b68f,
+  &s_cba4da2b3c474f54,
+};
+static const uint16_t m_dcb7dae3f3131bff[] = {1, 4, 0, 2, 5, 3, 6};
+static const uint16_t i_dcb7dae3f3131bff[] = {0, 1, 2, 3, 4, 5, 6};
+const ::capnp::_::RawSchema s_dcb7dae3f3131bff = {
+  0xdcb7dae3f3131bff, b_dcb7dae3f3131bff.words, 131, d_dcb7dae3f3131bff, m_dcb7dae3f3131bff,
+  2, 7, i_dcb7dae3f3131bff, nullptr, nullptr, { &s_dcb7dae3f3131bff, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<105> b_dc31c4e0e7d4eb1f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      31, 235, 212, 231, 224, 196,  49, 220,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -1498,71 +1843,79 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 199,   1,   0,   0,
-     73,   1,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,   7,   2,   0,   0,
+    117,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116,  97, 103, 101,  46,  99,  97,
     112, 110, 112,  58,  83, 116,  97, 103,
     101,  80, 114, 111, 116, 111,  99, 111,
     108,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   5,   0,
+     32,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     192, 214, 220,  95,  47, 170,  70, 194,
     169, 210, 116, 237,  13, 147, 238, 217,
-    209,   0,   0,   0,  34,   0,   0,   0,
+    241,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      14,  96,  15, 189,  10, 230, 251, 183,
      71,  59,  94, 155, 142, 255,  97, 248,
-    185,   0,   0,   0,  66,   0,   0,   0,
+    217,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    173,   0,   0,   0,   7,   0,   0,   0,
+    205,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     178,   1,  74, 227, 193, 237,  99, 173,
      22, 102, 180, 126, 119,   1, 225, 128,
-    161,   0,   0,   0,  42,   0,   0,   0,
+    193,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0,   7,   0,   0,   0,
+    181,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     222, 104,  84, 153, 127,  25, 232, 235,
     134, 212, 151,  45,  27, 212, 223, 174,
-    137,   0,   0,   0,  82,   0,   0,   0,
+    169,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,   7,   0,   0,   0,
+    161,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     253, 158, 148,  68, 174, 185,  64, 159,
     213, 106, 142, 140,  47,  68, 231, 148,
-    117,   0,   0,   0,  98,   0,   0,   0,
+    149,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     180, 144, 129, 235, 140,  48,  49, 174,
     117, 130,   8,  89, 141, 113, 237, 188,
-     97,   0,   0,   0, 162,   0,   0,   0,
+    129,   0,   0,   0, 162,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   0,   0,   0,   7,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     255, 249, 115,  35,  25, 175, 176, 239,
     237,  54, 140,   5,   8, 154,  89, 216,
-     81,   0,   0,   0,  98,   0,   0,   0,
+    113,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+    154, 104,   3, 106, 180, 112, 197, 211,
+     15,  95,  18, 127,   2,  52, 108, 151,
+     93,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,   7,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
     114, 117, 110,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 108, 101,  97, 115, 101,   0,
@@ -1582,6 +1935,9 @@
     116, 101, 108, 108,  76, 101,  97, 118,
     105, 110, 103,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,  68, 117,
+    116, 105, 101, 115,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_dc31c4e0e7d4eb1f = b_dc31c4e0e7d4eb1f.words;
@@ -1589,6 +1945,7 @@
 static const ::capnp::_::RawSchema* const d_dc31c4e0e7d4eb1f[] = {
   &s_80e101777eb46616,
   &s_94e7442f8c8e6ad5,
+  &s_976c34027f125f0f,
   &s_9f40b9ae44949efd,
   &s_ad63edc1e34a01b2,
   &s_ae31308ceb8190b4,
@@ -1596,16 +1953,17 @@
   &s_b7fbe60abd0f600e,
   &s_bced718d59088275,
   &s_c246aa2f5fdcd6c0,
+  &s_d3c570b46a03689a,
   &s_d8599a08058c36ed,
   &s_d9ee930ded74d2a9,
   &s_ebe8197f995468de,
   &s_efb0af192373f9ff,
   &s_f861ff8e9b5e3b47,
 };
-static const uint16_t m_dc31c4e0e7d4eb1f[] = {5, 2, 3, 1, 4, 0, 6};
+static const uint16_t m_dc31c4e0e7d4eb1f[] = {5, 2, 3, 1, 7, 4, 0, 6};
 const ::capnp::_::RawSchema s_dc31c4e0e7d4eb1f = {
-  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 94, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
-  14, 7, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
+  0xdc31c4e0e7d4eb1f, b_dc31c4e0e7d4eb1f.words, 105, d_dc31c4e0e7d4eb1f, m_dc31c4e0e7d4eb1f,
+  16, 8, nullptr, nullptr, nullptr, { &s_dc31c4e0e7d4eb1f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_c246aa2f5fdcd6c0 = {
@@ -2360,6 +2718,115 @@
   0, 0, nullptr, nullptr, nullptr, { &s_d8599a08058c36ed, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_d3c570b46a03689a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    154, 104,   3, 106, 180, 112, 197, 211,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 114, 101, 112, 111, 114, 116,
+     68, 117, 116, 105, 101, 115,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    255,  27,  19, 243, 227, 218, 183, 220,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d3c570b46a03689a = b_d3c570b46a03689a.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d3c570b46a03689a[] = {
+  &s_dcb7dae3f3131bff,
+};
+static const uint16_t m_d3c570b46a03689a[] = {0};
+static const uint16_t i_d3c570b46a03689a[] = {0};
+const ::capnp::_::RawSchema s_d3c570b46a03689a = {
+  0xd3c570b46a03689a, b_d3c570b46a03689a.words, 34, d_d3c570b46a03689a, m_d3c570b46a03689a,
+  1, 1, i_d3c570b46a03689a, nullptr, nullptr, { &s_d3c570b46a03689a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<50> b_976c34027f125f0f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     15,  95,  18, 127,   2,  52, 108, 151,
+     26,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 122,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 103, 101,  46,  99,  97,
+    112, 110, 112,  58,  83, 116,  97, 103,
+    101,  80, 114, 111, 116, 111,  99, 111,
+    108,  46, 114, 101, 112, 111, 114, 116,
+     68, 117, 116, 105, 101, 115,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111, 107, 101, 110,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_976c34027f125f0f = b_976c34027f125f0f.words;
+#if !CAPNP_LITE
+static const uint16_t m_976c34027f125f0f[] = {0, 1};
+static const uint16_t i_976c34027f125f0f[] = {0, 1};
+const ::capnp::_::RawSchema s_976c34027f125f0f = {
+  0x976c34027f125f0f, b_976c34027f125f0f.words, 50, nullptr, m_976c34027f125f0f,
+  0, 2, i_976c34027f125f0f, nullptr, nullptr, { &s_976c34027f125f0f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2472,6 +2939,38 @@
 constexpr ::capnp::_::RawSchema const* EndpointStart::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// WorkspaceCount
+constexpr uint16_t WorkspaceCount::_capnpPrivate::dataWordSize;
+constexpr uint16_t WorkspaceCount::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind WorkspaceCount::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* WorkspaceCount::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// UsageWindow
+constexpr uint16_t UsageWindow::_capnpPrivate::dataWordSize;
+constexpr uint16_t UsageWindow::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind UsageWindow::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* UsageWindow::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// ZoneLoad
+constexpr uint16_t ZoneLoad::_capnpPrivate::dataWordSize;
+constexpr uint16_t ZoneLoad::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ZoneLoad::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ZoneLoad::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// DutyReport
+constexpr uint16_t DutyReport::_capnpPrivate::dataWordSize;
+constexpr uint16_t DutyReport::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind DutyReport::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* DutyReport::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults>
 StageProtocol::Client::runRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -2543,6 +3042,16 @@
       "stage.capnp:StageProtocol", "tellLeaving",
       0xdc31c4e0e7d4eb1full, 6);
 }
+::capnp::Request< ::mimosahub::wire::StageProtocol::ReportDutiesParams,  ::mimosahub::wire::StageProtocol::ReportDutiesResults>
+StageProtocol::Client::reportDutiesRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::mimosahub::wire::StageProtocol::ReportDutiesParams,  ::mimosahub::wire::StageProtocol::ReportDutiesResults>(
+      0xdc31c4e0e7d4eb1full, 7, sizeHint);
+}
+::kj::Promise<void> StageProtocol::Server::reportDuties(ReportDutiesContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "stage.capnp:StageProtocol", "reportDuties",
+      0xdc31c4e0e7d4eb1full, 7);
+}
 ::capnp::Capability::Server::DispatchCallResult StageProtocol::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2599,6 +3108,12 @@
              ::mimosahub::wire::StageProtocol::TellLeavingParams,  ::mimosahub::wire::StageProtocol::TellLeavingResults>(context)),
         false
       };
+    case 7:
+      return {
+        reportDuties(::capnp::Capability::Server::internalGetTypedContext<
+             ::mimosahub::wire::StageProtocol::ReportDutiesParams,  ::mimosahub::wire::StageProtocol::ReportDutiesResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2726,6 +3241,22 @@
 constexpr ::capnp::_::RawSchema const* StageProtocol::TellLeavingResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// StageProtocol::ReportDutiesParams
+constexpr uint16_t StageProtocol::ReportDutiesParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::ReportDutiesParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::ReportDutiesParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::ReportDutiesParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StageProtocol::ReportDutiesResults
+constexpr uint16_t StageProtocol::ReportDutiesResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t StageProtocol::ReportDutiesResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StageProtocol::ReportDutiesResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StageProtocol::ReportDutiesResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -32,6 +32,10 @@
 CAPNP_DECLARE_SCHEMA(857c8bc0dc55cb22);
 CAPNP_DECLARE_SCHEMA(f41c99246c8bce3b);
 CAPNP_DECLARE_SCHEMA(be28f81bc2312dac);
+CAPNP_DECLARE_SCHEMA(925042059d86ee2a);
+CAPNP_DECLARE_SCHEMA(cba4da2b3c474f54);
+CAPNP_DECLARE_SCHEMA(b16a3f28d977b68f);
+CAPNP_DECLARE_SCHEMA(dcb7dae3f3131bff);
 CAPNP_DECLARE_SCHEMA(dc31c4e0e7d4eb1f);
 CAPNP_DECLARE_SCHEMA(c246aa2f5fdcd6c0);
 CAPNP_DECLARE_SCHEMA(d9ee930ded74d2a9);
@@ -47,6 +51,8 @@
 CAPNP_DECLARE_SCHEMA(bced718d59088275);
 CAPNP_DECLARE_SCHEMA(efb0af192373f9ff);
 CAPNP_DECLARE_SCHEMA(d8599a08058c36ed);
+CAPNP_DECLARE_SCHEMA(d3c570b46a03689a);
+CAPNP_DECLARE_SCHEMA(976c34027f125f0f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -249,6 +255,66 @@
   };
 };
 
+struct WorkspaceCount {
+  WorkspaceCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(925042059d86ee2a, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageWindow {
+  UsageWindow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cba4da2b3c474f54, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ZoneLoad {
+  ZoneLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b16a3f28d977b68f, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DutyReport {
+  DutyReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dcb7dae3f3131bff, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StageProtocol {
   StageProtocol() = delete;
 
@@ -271,6 +337,8 @@
   struct ExchangeQuarantinesResults;
   struct TellLeavingParams;
   struct TellLeavingResults;
+  struct ReportDutiesParams;
+  struct ReportDutiesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -490,6 +558,36 @@
   };
 };
 
+struct StageProtocol::ReportDutiesParams {
+  ReportDutiesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3c570b46a03689a, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StageProtocol::ReportDutiesResults {
+  ReportDutiesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(976c34027f125f0f, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ZoneBytes::Reader {
@@ -1925,98 +2023,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class StageProtocol::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef StageProtocol Calls;
-  typedef StageProtocol Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReleaseParams,  ::mimosahub::wire::StageProtocol::ReleaseResults> releaseRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults> readTableRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults> reportSplitRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams,  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults> exchangeQuarantinesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::mimosahub::wire::StageProtocol::TellLeavingParams,  ::mimosahub::wire::StageProtocol::TellLeavingResults> tellLeavingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class StageProtocol::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef StageProtocol Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::mimosahub::wire::StageProtocol::RunParams RunParams;
-  typedef  ::mimosahub::wire::StageProtocol::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReleaseParams ReleaseParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReleaseResults ReleaseResults;
-  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
-  virtual ::kj::Promise<void> release(ReleaseContext context);
-  typedef  ::mimosahub::wire::StageProtocol::PingParams PingParams;
-  typedef  ::mimosahub::wire::StageProtocol::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReadTableParams ReadTableParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReadTableResults ReadTableResults;
-  typedef ::capnp::CallContext<ReadTableParams, ReadTableResults> ReadTableContext;
-  virtual ::kj::Promise<void> readTable(ReadTableContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ReportSplitParams ReportSplitParams;
-  typedef  ::mimosahub::wire::StageProtocol::ReportSplitResults ReportSplitResults;
-  typedef ::capnp::CallContext<ReportSplitParams, ReportSplitResults> ReportSplitContext;
-  virtual ::kj::Promise<void> reportSplit(ReportSplitContext context);
-  typedef  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams ExchangeQuarantinesParams;
-  typedef  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults ExchangeQuarantinesResults;
-  typedef ::capnp::CallContext<ExchangeQuarantinesParams, ExchangeQuarantinesResults> ExchangeQuarantinesContext;
-  virtual ::kj::Promise<void> exchangeQuarantines(ExchangeQuarantinesContext context);
-  typedef  ::mimosahub::wire::StageProtocol::TellLeavingParams TellLeavingParams;
-  typedef  ::mimosahub::wire::StageProtocol::TellLeavingResults TellLeavingResults;
-  typedef ::capnp::CallContext<TellLeavingParams, TellLeavingResults> TellLeavingContext;
-  virtual ::kj::Promise<void> tellLeaving(TellLeavingContext context);
-
-  inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::mimosahub::wire::StageProtocol>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class StageProtocol::RunParams::Reader {
+class WorkspaceCount::Reader {
 public:
-  typedef RunParams Reads;
+  typedef WorkspaceCount Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2031,8 +2040,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder() const;
-  inline  ::mimosahub::wire::PieceOrder::Reader getOrder() const;
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::uint64_t getCount() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2046,9 +2057,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::RunParams::Builder {
+class WorkspaceCount::Builder {
 public:
-  typedef RunParams Builds;
+  typedef WorkspaceCount Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2062,12 +2073,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOrder();
-  inline  ::mimosahub::wire::PieceOrder::Builder getOrder();
-  inline void setOrder( ::mimosahub::wire::PieceOrder::Reader value);
-  inline  ::mimosahub::wire::PieceOrder::Builder initOrder();
-  inline void adoptOrder(::capnp::Orphan< ::mimosahub::wire::PieceOrder>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrder> disownOrder();
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::uint64_t getCount();
+  inline void setCount( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2079,15 +2093,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::RunParams::Pipeline {
+class WorkspaceCount::Pipeline {
 public:
-  typedef RunParams Pipelines;
+  typedef WorkspaceCount Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::PieceOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2096,9 +2109,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::RunResults::Reader {
+class UsageWindow::Reader {
 public:
-  typedef RunResults Reads;
+  typedef UsageWindow Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2113,11 +2126,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult() const;
-  inline  ::mimosahub::wire::PieceOrderResult::Reader getResult() const;
+  inline  ::int64_t getWindow() const;
 
-  inline bool hasLoad() const;
-  inline  ::mimosahub::wire::BatchLoad::Reader getLoad() const;
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2131,9 +2143,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::RunResults::Builder {
+class UsageWindow::Builder {
 public:
-  typedef RunResults Builds;
+  typedef UsageWindow Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2147,19 +2159,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResult();
-  inline  ::mimosahub::wire::PieceOrderResult::Builder getResult();
-  inline void setResult( ::mimosahub::wire::PieceOrderResult::Reader value);
-  inline  ::mimosahub::wire::PieceOrderResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::mimosahub::wire::PieceOrderResult>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrderResult> disownResult();
+  inline  ::int64_t getWindow();
+  inline void setWindow( ::int64_t value);
 
-  inline bool hasLoad();
-  inline  ::mimosahub::wire::BatchLoad::Builder getLoad();
-  inline void setLoad( ::mimosahub::wire::BatchLoad::Reader value);
-  inline  ::mimosahub::wire::BatchLoad::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::mimosahub::wire::BatchLoad>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::BatchLoad> disownLoad();
+  inline bool hasCounts();
+  inline  ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>> disownCounts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2171,16 +2179,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::RunResults::Pipeline {
+class UsageWindow::Pipeline {
 public:
-  typedef RunResults Pipelines;
+  typedef UsageWindow Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::PieceOrderResult::Pipeline getResult();
-  inline  ::mimosahub::wire::BatchLoad::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2189,9 +2195,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReleaseParams::Reader {
+class ZoneLoad::Reader {
 public:
-  typedef ReleaseParams Reads;
+  typedef ZoneLoad Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2209,8 +2215,10 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasHandles() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline  ::uint64_t getInFlight() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2224,9 +2232,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReleaseParams::Builder {
+class ZoneLoad::Builder {
 public:
-  typedef ReleaseParams Builds;
+  typedef ZoneLoad Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2247,13 +2255,15 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasHandles();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
-  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
-  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline  ::uint64_t getInFlight();
+  inline void setInFlight( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2265,9 +2275,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReleaseParams::Pipeline {
+class ZoneLoad::Pipeline {
 public:
-  typedef ReleaseParams Pipelines;
+  typedef ZoneLoad Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2281,9 +2291,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReleaseResults::Reader {
+class DutyReport::Reader {
 public:
-  typedef ReleaseResults Reads;
+  typedef DutyReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2298,6 +2308,24 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSource() const;
+  inline  ::capnp::Text::Reader getSource() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool getSummed() const;
+
+  inline bool hasWindows() const;
+  inline  ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getWindows() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline  ::uint64_t getToken() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2310,9 +2338,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReleaseResults::Builder {
+class DutyReport::Builder {
 public:
-  typedef ReleaseResults Builds;
+  typedef DutyReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2326,19 +2354,56 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasSource();
+  inline  ::capnp::Text::Builder getSource();
+  inline void setSource( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSource(unsigned int size);
+  inline void adoptSource(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSource();
 
-#if !CAPNP_LITE
-class StageProtocol::ReleaseResults::Pipeline {
-public:
-  typedef ReleaseResults Pipelines;
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getSummed();
+  inline void setSummed(bool value);
+
+  inline bool hasWindows();
+  inline  ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder getWindows();
+  inline void setWindows( ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder initWindows(unsigned int size);
+  inline void adoptWindows(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>> disownWindows();
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DutyReport::Pipeline {
+public:
+  typedef DutyReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2352,9 +2417,104 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::PingParams::Reader {
+#if !CAPNP_LITE
+class StageProtocol::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef PingParams Reads;
+  typedef StageProtocol Calls;
+  typedef StageProtocol Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::RunParams,  ::mimosahub::wire::StageProtocol::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReleaseParams,  ::mimosahub::wire::StageProtocol::ReleaseResults> releaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::PingParams,  ::mimosahub::wire::StageProtocol::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReadTableParams,  ::mimosahub::wire::StageProtocol::ReadTableResults> readTableRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReportSplitParams,  ::mimosahub::wire::StageProtocol::ReportSplitResults> reportSplitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams,  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults> exchangeQuarantinesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::TellLeavingParams,  ::mimosahub::wire::StageProtocol::TellLeavingResults> tellLeavingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::mimosahub::wire::StageProtocol::ReportDutiesParams,  ::mimosahub::wire::StageProtocol::ReportDutiesResults> reportDutiesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class StageProtocol::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef StageProtocol Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::mimosahub::wire::StageProtocol::RunParams RunParams;
+  typedef  ::mimosahub::wire::StageProtocol::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReleaseParams ReleaseParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReleaseResults ReleaseResults;
+  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
+  virtual ::kj::Promise<void> release(ReleaseContext context);
+  typedef  ::mimosahub::wire::StageProtocol::PingParams PingParams;
+  typedef  ::mimosahub::wire::StageProtocol::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableParams ReadTableParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReadTableResults ReadTableResults;
+  typedef ::capnp::CallContext<ReadTableParams, ReadTableResults> ReadTableContext;
+  virtual ::kj::Promise<void> readTable(ReadTableContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReportSplitParams ReportSplitParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReportSplitResults ReportSplitResults;
+  typedef ::capnp::CallContext<ReportSplitParams, ReportSplitResults> ReportSplitContext;
+  virtual ::kj::Promise<void> reportSplit(ReportSplitContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesParams ExchangeQuarantinesParams;
+  typedef  ::mimosahub::wire::StageProtocol::ExchangeQuarantinesResults ExchangeQuarantinesResults;
+  typedef ::capnp::CallContext<ExchangeQuarantinesParams, ExchangeQuarantinesResults> ExchangeQuarantinesContext;
+  virtual ::kj::Promise<void> exchangeQuarantines(ExchangeQuarantinesContext context);
+  typedef  ::mimosahub::wire::StageProtocol::TellLeavingParams TellLeavingParams;
+  typedef  ::mimosahub::wire::StageProtocol::TellLeavingResults TellLeavingResults;
+  typedef ::capnp::CallContext<TellLeavingParams, TellLeavingResults> TellLeavingContext;
+  virtual ::kj::Promise<void> tellLeaving(TellLeavingContext context);
+  typedef  ::mimosahub::wire::StageProtocol::ReportDutiesParams ReportDutiesParams;
+  typedef  ::mimosahub::wire::StageProtocol::ReportDutiesResults ReportDutiesResults;
+  typedef ::capnp::CallContext<ReportDutiesParams, ReportDutiesResults> ReportDutiesContext;
+  virtual ::kj::Promise<void> reportDuties(ReportDutiesContext context);
+
+  inline  ::mimosahub::wire::StageProtocol::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::mimosahub::wire::StageProtocol>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::RunParams::Reader {
+public:
+  typedef RunParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2369,6 +2529,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrder() const;
+  inline  ::mimosahub::wire::PieceOrder::Reader getOrder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2381,9 +2544,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::PingParams::Builder {
+class StageProtocol::RunParams::Builder {
 public:
-  typedef PingParams Builds;
+  typedef RunParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2397,6 +2560,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOrder();
+  inline  ::mimosahub::wire::PieceOrder::Builder getOrder();
+  inline void setOrder( ::mimosahub::wire::PieceOrder::Reader value);
+  inline  ::mimosahub::wire::PieceOrder::Builder initOrder();
+  inline void adoptOrder(::capnp::Orphan< ::mimosahub::wire::PieceOrder>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrder> disownOrder();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2407,14 +2577,15 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::PingParams::Pipeline {
+class StageProtocol::RunParams::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef RunParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mimosahub::wire::PieceOrder::Pipeline getOrder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2423,9 +2594,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::PingResults::Reader {
+class StageProtocol::RunResults::Reader {
 public:
-  typedef PingResults Reads;
+  typedef RunResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2440,8 +2611,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+  inline bool hasResult() const;
+  inline  ::mimosahub::wire::PieceOrderResult::Reader getResult() const;
+
+  inline bool hasLoad() const;
+  inline  ::mimosahub::wire::BatchLoad::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2455,9 +2629,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::PingResults::Builder {
+class StageProtocol::RunResults::Builder {
 public:
-  typedef PingResults Builds;
+  typedef RunResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2471,12 +2645,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads();
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+  inline bool hasResult();
+  inline  ::mimosahub::wire::PieceOrderResult::Builder getResult();
+  inline void setResult( ::mimosahub::wire::PieceOrderResult::Reader value);
+  inline  ::mimosahub::wire::PieceOrderResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan< ::mimosahub::wire::PieceOrderResult>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::PieceOrderResult> disownResult();
+
+  inline bool hasLoad();
+  inline  ::mimosahub::wire::BatchLoad::Builder getLoad();
+  inline void setLoad( ::mimosahub::wire::BatchLoad::Reader value);
+  inline  ::mimosahub::wire::BatchLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::mimosahub::wire::BatchLoad>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::BatchLoad> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2488,14 +2669,16 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::PingResults::Pipeline {
+class StageProtocol::RunResults::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef RunResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mimosahub::wire::PieceOrderResult::Pipeline getResult();
+  inline  ::mimosahub::wire::BatchLoad::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2504,9 +2687,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReadTableParams::Reader {
+class StageProtocol::ReleaseParams::Reader {
 public:
-  typedef ReadTableParams Reads;
+  typedef ReleaseParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2521,9 +2704,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getTable() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getFrom() const;
+  inline bool hasHandles() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2537,9 +2722,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReadTableParams::Builder {
+class StageProtocol::ReleaseParams::Builder {
 public:
-  typedef ReadTableParams Builds;
+  typedef ReleaseParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2553,11 +2738,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getTable();
-  inline void setTable( ::uint8_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getFrom();
-  inline void setFrom( ::uint64_t value);
+  inline bool hasHandles();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
+  inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHandles(unsigned int size);
+  inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2569,9 +2763,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReadTableParams::Pipeline {
+class StageProtocol::ReleaseParams::Pipeline {
 public:
-  typedef ReadTableParams Pipelines;
+  typedef ReleaseParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2585,9 +2779,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReadTableResults::Reader {
+class StageProtocol::ReleaseResults::Reader {
 public:
-  typedef ReadTableResults Reads;
+  typedef ReleaseResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2602,17 +2796,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
-
-  inline  ::int64_t getAgeUs() const;
-
-  inline  ::uint64_t getNext() const;
-
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
-
-  inline  ::uint64_t getDocuments() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2625,9 +2808,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReadTableResults::Builder {
+class StageProtocol::ReleaseResults::Builder {
 public:
-  typedef ReadTableResults Builds;
+  typedef ReleaseResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2641,25 +2824,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
-
-  inline  ::int64_t getAgeUs();
-  inline void setAgeUs( ::int64_t value);
-
-  inline  ::uint64_t getNext();
-  inline void setNext( ::uint64_t value);
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-  inline  ::uint64_t getDocuments();
-  inline void setDocuments( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2670,9 +2834,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReadTableResults::Pipeline {
+class StageProtocol::ReleaseResults::Pipeline {
 public:
-  typedef ReadTableResults Pipelines;
+  typedef ReleaseResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2686,9 +2850,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReportSplitParams::Reader {
+class StageProtocol::PingParams::Reader {
 public:
-  typedef ReportSplitParams Reads;
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2703,9 +2867,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::mimosahub::wire::SplitReport::Reader getReport() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2718,9 +2879,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReportSplitParams::Builder {
+class StageProtocol::PingParams::Builder {
 public:
-  typedef ReportSplitParams Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2734,13 +2895,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::mimosahub::wire::SplitReport::Builder getReport();
-  inline void setReport( ::mimosahub::wire::SplitReport::Reader value);
-  inline  ::mimosahub::wire::SplitReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::mimosahub::wire::SplitReport>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::SplitReport> disownReport();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2751,15 +2905,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReportSplitParams::Pipeline {
+class StageProtocol::PingParams::Pipeline {
 public:
-  typedef ReportSplitParams Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::SplitReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2768,9 +2921,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ReportSplitResults::Reader {
+class StageProtocol::PingResults::Reader {
 public:
-  typedef ReportSplitResults Reads;
+  typedef PingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2785,12 +2938,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown() const;
-
-  inline  ::uint8_t getPhase() const;
-
-  inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2804,9 +2953,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ReportSplitResults::Builder {
+class StageProtocol::PingResults::Builder {
 public:
-  typedef ReportSplitResults Builds;
+  typedef PingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2820,18 +2969,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getKnown();
-  inline void setKnown(bool value);
-
-  inline  ::uint8_t getPhase();
-  inline void setPhase( ::uint8_t value);
-
-  inline bool hasReason();
-  inline  ::capnp::Text::Builder getReason();
-  inline void setReason( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReason(unsigned int size);
-  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+  inline bool hasLoads();
+  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::BatchLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2843,9 +2986,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ReportSplitResults::Pipeline {
+class StageProtocol::PingResults::Pipeline {
 public:
-  typedef ReportSplitResults Pipelines;
+  typedef PingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2859,9 +3002,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ExchangeQuarantinesParams::Reader {
+class StageProtocol::ReadTableParams::Reader {
 public:
-  typedef ExchangeQuarantinesParams Reads;
+  typedef ReadTableParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2876,8 +3019,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::mimosahub::wire::QuarantineMessage::Reader getMessage() const;
+  inline  ::uint8_t getTable() const;
+
+  inline  ::uint64_t getFrom() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2891,9 +3035,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ExchangeQuarantinesParams::Builder {
+class StageProtocol::ReadTableParams::Builder {
 public:
-  typedef ExchangeQuarantinesParams Builds;
+  typedef ReadTableParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2907,12 +3051,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::mimosahub::wire::QuarantineMessage::Builder getMessage();
-  inline void setMessage( ::mimosahub::wire::QuarantineMessage::Reader value);
-  inline  ::mimosahub::wire::QuarantineMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::mimosahub::wire::QuarantineMessage>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::QuarantineMessage> disownMessage();
+  inline  ::uint8_t getTable();
+  inline void setTable( ::uint8_t value);
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2924,15 +3067,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ExchangeQuarantinesParams::Pipeline {
+class StageProtocol::ReadTableParams::Pipeline {
 public:
-  typedef ExchangeQuarantinesParams Pipelines;
+  typedef ReadTableParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::QuarantineMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2941,9 +3083,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::ExchangeQuarantinesResults::Reader {
+class StageProtocol::ReadTableResults::Reader {
 public:
-  typedef ExchangeQuarantinesResults Reads;
+  typedef ReadTableResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2958,8 +3100,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::mimosahub::wire::QuarantineMessage::Reader getMessage() const;
+  inline bool getKnown() const;
+
+  inline  ::int64_t getAgeUs() const;
+
+  inline  ::uint64_t getNext() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline  ::uint64_t getDocuments() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2973,9 +3123,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::ExchangeQuarantinesResults::Builder {
+class StageProtocol::ReadTableResults::Builder {
 public:
-  typedef ExchangeQuarantinesResults Builds;
+  typedef ReadTableResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2989,12 +3139,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::mimosahub::wire::QuarantineMessage::Builder getMessage();
-  inline void setMessage( ::mimosahub::wire::QuarantineMessage::Reader value);
-  inline  ::mimosahub::wire::QuarantineMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::mimosahub::wire::QuarantineMessage>&& value);
-  inline ::capnp::Orphan< ::mimosahub::wire::QuarantineMessage> disownMessage();
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline  ::int64_t getAgeUs();
+  inline void setAgeUs( ::int64_t value);
+
+  inline  ::uint64_t getNext();
+  inline void setNext( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::TableRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline  ::uint64_t getDocuments();
+  inline void setDocuments( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3006,15 +3168,14 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::ExchangeQuarantinesResults::Pipeline {
+class StageProtocol::ReadTableResults::Pipeline {
 public:
-  typedef ExchangeQuarantinesResults Pipelines;
+  typedef ReadTableResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::mimosahub::wire::QuarantineMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3023,9 +3184,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::TellLeavingParams::Reader {
+class StageProtocol::ReportSplitParams::Reader {
 public:
-  typedef TellLeavingParams Reads;
+  typedef ReportSplitParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3040,8 +3201,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+  inline bool hasReport() const;
+  inline  ::mimosahub::wire::SplitReport::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3055,9 +3216,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::TellLeavingParams::Builder {
+class StageProtocol::ReportSplitParams::Builder {
 public:
-  typedef TellLeavingParams Builds;
+  typedef ReportSplitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3071,12 +3232,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoints();
-  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
-  inline void setEndpoints( ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
-  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>> disownEndpoints();
+  inline bool hasReport();
+  inline  ::mimosahub::wire::SplitReport::Builder getReport();
+  inline void setReport( ::mimosahub::wire::SplitReport::Reader value);
+  inline  ::mimosahub::wire::SplitReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::mimosahub::wire::SplitReport>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::SplitReport> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3088,14 +3249,15 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::TellLeavingParams::Pipeline {
+class StageProtocol::ReportSplitParams::Pipeline {
 public:
-  typedef TellLeavingParams Pipelines;
+  typedef ReportSplitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::mimosahub::wire::SplitReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3104,9 +3266,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StageProtocol::TellLeavingResults::Reader {
+class StageProtocol::ReportSplitResults::Reader {
 public:
-  typedef TellLeavingResults Reads;
+  typedef ReportSplitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3121,6 +3283,13 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getKnown() const;
+
+  inline  ::uint8_t getPhase() const;
+
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3133,9 +3302,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StageProtocol::TellLeavingResults::Builder {
+class StageProtocol::ReportSplitResults::Builder {
 public:
-  typedef TellLeavingResults Builds;
+  typedef ReportSplitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3149,6 +3318,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
+
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3159,9 +3341,9 @@
 };
 
 #if !CAPNP_LITE
-class StageProtocol::TellLeavingResults::Pipeline {
+class StageProtocol::ReportSplitResults::Pipeline {
 public:
-  typedef TellLeavingResults Pipelines;
+  typedef ReportSplitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3175,59 +3357,538 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline bool ZoneBytes::Reader::hasZone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ZoneBytes::Builder::hasZone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ZoneBytes::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ZoneBytes::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ZoneBytes::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ZoneBytes::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ZoneBytes::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ZoneBytes::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+class StageProtocol::ExchangeQuarantinesParams::Reader {
+public:
+  typedef ExchangeQuarantinesParams Reads;
 
-inline  ::uint64_t ZoneBytes::Reader::getBytes() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t ZoneBytes::Builder::getBytes() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ZoneBytes::Builder::setBytes( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool PieceOrder::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage() const;
+  inline  ::mimosahub::wire::QuarantineMessage::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ExchangeQuarantinesParams::Builder {
+public:
+  typedef ExchangeQuarantinesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::mimosahub::wire::QuarantineMessage::Builder getMessage();
+  inline void setMessage( ::mimosahub::wire::QuarantineMessage::Reader value);
+  inline  ::mimosahub::wire::QuarantineMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::mimosahub::wire::QuarantineMessage>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::QuarantineMessage> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::ExchangeQuarantinesParams::Pipeline {
+public:
+  typedef ExchangeQuarantinesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mimosahub::wire::QuarantineMessage::Pipeline getMessage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::ExchangeQuarantinesResults::Reader {
+public:
+  typedef ExchangeQuarantinesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage() const;
+  inline  ::mimosahub::wire::QuarantineMessage::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ExchangeQuarantinesResults::Builder {
+public:
+  typedef ExchangeQuarantinesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::mimosahub::wire::QuarantineMessage::Builder getMessage();
+  inline void setMessage( ::mimosahub::wire::QuarantineMessage::Reader value);
+  inline  ::mimosahub::wire::QuarantineMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::mimosahub::wire::QuarantineMessage>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::QuarantineMessage> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::ExchangeQuarantinesResults::Pipeline {
+public:
+  typedef ExchangeQuarantinesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mimosahub::wire::QuarantineMessage::Pipeline getMessage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::TellLeavingParams::Reader {
+public:
+  typedef TellLeavingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::TellLeavingParams::Builder {
+public:
+  typedef TellLeavingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::EndpointStart,  ::capnp::Kind::STRUCT>> disownEndpoints();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::TellLeavingParams::Pipeline {
+public:
+  typedef TellLeavingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::TellLeavingResults::Reader {
+public:
+  typedef TellLeavingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::TellLeavingResults::Builder {
+public:
+  typedef TellLeavingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::TellLeavingResults::Pipeline {
+public:
+  typedef TellLeavingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::ReportDutiesParams::Reader {
+public:
+  typedef ReportDutiesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::mimosahub::wire::DutyReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ReportDutiesParams::Builder {
+public:
+  typedef ReportDutiesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::mimosahub::wire::DutyReport::Builder getReport();
+  inline void setReport( ::mimosahub::wire::DutyReport::Reader value);
+  inline  ::mimosahub::wire::DutyReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::mimosahub::wire::DutyReport>&& value);
+  inline ::capnp::Orphan< ::mimosahub::wire::DutyReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::ReportDutiesParams::Pipeline {
+public:
+  typedef ReportDutiesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::mimosahub::wire::DutyReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StageProtocol::ReportDutiesResults::Reader {
+public:
+  typedef ReportDutiesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getToken() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StageProtocol::ReportDutiesResults::Builder {
+public:
+  typedef ReportDutiesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StageProtocol::ReportDutiesResults::Pipeline {
+public:
+  typedef ReportDutiesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool ZoneBytes::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ZoneBytes::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ZoneBytes::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ZoneBytes::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ZoneBytes::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ZoneBytes::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ZoneBytes::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ZoneBytes::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ZoneBytes::Reader::getBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ZoneBytes::Builder::getBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ZoneBytes::Builder::setBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PieceOrder::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PieceOrder::Builder::hasService() {
   return !_builder.getPointerField(
