@@ -3870,933 +4531,1289 @@
   ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::mimosahub::wire::VersionOutcomes::Builder RouteOutcomes::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::mimosahub::wire::VersionOutcomes::Builder RouteOutcomes::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RouteOutcomes::Builder::adoptFrom(
+    ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes>&& value) {
+  ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes> RouteOutcomes::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RouteOutcomes::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteOutcomes::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mimosahub::wire::VersionOutcomes::Reader RouteOutcomes::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::mimosahub::wire::VersionOutcomes::Builder RouteOutcomes::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mimosahub::wire::VersionOutcomes::Pipeline RouteOutcomes::Pipeline::getTo() {
+  return  ::mimosahub::wire::VersionOutcomes::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void RouteOutcomes::Builder::setTo( ::mimosahub::wire::VersionOutcomes::Reader value) {
+  ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::mimosahub::wire::VersionOutcomes::Builder RouteOutcomes::Builder::initTo() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RouteOutcomes::Builder::adoptTo(
+    ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes>&& value) {
+  ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes> RouteOutcomes::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool SplitReport::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SplitReport::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SplitReport::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SplitReport::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SplitReport::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SplitReport::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SplitReport::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SplitReport::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SplitReport::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SplitReport::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SplitReport::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SplitReport::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SplitReport::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SplitReport::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SplitReport::Reader::getRecord() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SplitReport::Builder::getRecord() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SplitReport::Builder::setRecord( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SplitReport::Reader::hasDaemon() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SplitReport::Builder::hasDaemon() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SplitReport::Reader::getDaemon() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SplitReport::Builder::getDaemon() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SplitReport::Builder::setDaemon( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SplitReport::Builder::initDaemon(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SplitReport::Builder::adoptDaemon(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownDaemon() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SplitReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SplitReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SplitReport::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SplitReport::Reader::getElapsedUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SplitReport::Builder::getElapsedUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SplitReport::Builder::setElapsedUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void RouteOutcomes::Builder::adoptFrom(
-    ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes>&& value) {
-  ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t SplitReport::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes> RouteOutcomes::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint8_t SplitReport::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+inline void SplitReport::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RouteOutcomes::Reader::hasTo() const {
+inline bool SplitReport::Reader::hasFault() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RouteOutcomes::Builder::hasTo() {
+inline bool SplitReport::Builder::hasFault() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::mimosahub::wire::VersionOutcomes::Reader RouteOutcomes::Reader::getTo() const {
-  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader SplitReport::Reader::getFault() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::mimosahub::wire::VersionOutcomes::Builder RouteOutcomes::Builder::getTo() {
-  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder SplitReport::Builder::getFault() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::mimosahub::wire::VersionOutcomes::Pipeline RouteOutcomes::Pipeline::getTo() {
-  return  ::mimosahub::wire::VersionOutcomes::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void RouteOutcomes::Builder::setTo( ::mimosahub::wire::VersionOutcomes::Reader value) {
-  ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::set(_builder.getPointerField(
+inline void SplitReport::Builder::setFault( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::mimosahub::wire::VersionOutcomes::Builder RouteOutcomes::Builder::initTo() {
-  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SplitReport::Builder::initFault(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void RouteOutcomes::Builder::adoptTo(
-    ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes>&& value) {
-  ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::adopt(_builder.getPointerField(
+inline void SplitReport::Builder::adoptFault(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::mimosahub::wire::VersionOutcomes> RouteOutcomes::Builder::disownTo() {
-  return ::capnp::_::PointerHelpers< ::mimosahub::wire::VersionOutcomes>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownFault() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool SplitReport::Reader::hasService() const {
+inline bool SplitReport::Reader::hasRoutes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SplitReport::Builder::hasRoutes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Reader SplitReport::Reader::getRoutes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Builder SplitReport::Builder::getRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SplitReport::Builder::setRoutes( ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Builder SplitReport::Builder::initRoutes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SplitReport::Builder::adoptRoutes(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>> SplitReport::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SplitReport::Builder::hasService() {
+inline bool CrashReport::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SplitReport::Reader::getService() const {
+inline  ::capnp::Text::Reader CrashReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::getService() {
+inline  ::capnp::Text::Builder CrashReport::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SplitReport::Builder::setService( ::capnp::Text::Reader value) {
+inline void CrashReport::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder CrashReport::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SplitReport::Builder::adoptService(
+inline void CrashReport::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SplitReport::Reader::hasTarget() const {
+inline bool CrashReport::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SplitReport::Builder::hasTarget() {
+inline bool CrashReport::Builder::hasPart() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SplitReport::Reader::getTarget() const {
+inline  ::capnp::Text::Reader CrashReport::Reader::getPart() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::getTarget() {
+inline  ::capnp::Text::Builder CrashReport::Builder::getPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SplitReport::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void CrashReport::Builder::setPart( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder CrashReport::Builder::initPart(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SplitReport::Builder::adoptTarget(
+inline void CrashReport::Builder::adoptPart(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SplitReport::Reader::getRecord() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SplitReport::Builder::getRecord() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SplitReport::Builder::setRecord( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SplitReport::Reader::hasDaemon() const {
+inline bool CrashReport::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SplitReport::Builder::hasDaemon() {
+inline bool CrashReport::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SplitReport::Reader::getDaemon() const {
+inline  ::capnp::Text::Reader CrashReport::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::getDaemon() {
+inline  ::capnp::Text::Builder CrashReport::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SplitReport::Builder::setDaemon( ::capnp::Text::Reader value) {
+inline void CrashReport::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::initDaemon(unsigned int size) {
+inline  ::capnp::Text::Builder CrashReport::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SplitReport::Builder::adoptDaemon(
+inline void CrashReport::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownDaemon() {
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SplitReport::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t CrashReport::Reader::getStartedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CrashReport::Builder::getStartedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setStartedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CrashReport::Reader::getSentAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SplitReport::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t CrashReport::Builder::getSentAgeUs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SplitReport::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void CrashReport::Builder::setSentAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t SplitReport::Reader::getElapsedUs() const {
+inline  ::int64_t CrashReport::Reader::getCrashAgeUs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t SplitReport::Builder::getElapsedUs() {
+inline  ::int64_t CrashReport::Builder::getCrashAgeUs() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SplitReport::Builder::setElapsedUs( ::int64_t value) {
+inline void CrashReport::Builder::setCrashAgeUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t SplitReport::Reader::getPhase() const {
+inline  ::uint8_t CrashReport::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t SplitReport::Builder::getPhase() {
+inline  ::uint8_t CrashReport::Builder::getKind() {
   return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void SplitReport::Builder::setPhase( ::uint8_t value) {
+inline void CrashReport::Builder::setKind( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SplitReport::Reader::hasFault() const {
+inline  ::uint64_t CrashReport::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AnswerReport::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SplitReport::Builder::hasFault() {
+inline bool AnswerReport::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SplitReport::Reader::getFault() const {
+inline  ::capnp::Text::Reader AnswerReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AnswerReport::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnswerReport::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AnswerReport::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AnswerReport::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AnswerReport::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool AnswerReport::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerReport::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AnswerReport::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::getFault() {
+inline  ::capnp::Text::Builder AnswerReport::Builder::getPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SplitReport::Builder::setFault( ::capnp::Text::Reader value) {
+inline void AnswerReport::Builder::setPart( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SplitReport::Builder::initFault(unsigned int size) {
+inline  ::capnp::Text::Builder AnswerReport::Builder::initPart(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SplitReport::Builder::adoptFault(
+inline void AnswerReport::Builder::adoptPart(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SplitReport::Builder::disownFault() {
+inline ::capnp::Orphan< ::capnp::Text> AnswerReport::Builder::disownPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SplitReport::Reader::hasRoutes() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool SplitReport::Builder::hasRoutes() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Reader SplitReport::Reader::getRoutes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::int64_t AnswerReport::Reader::getAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Builder SplitReport::Builder::getRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::int64_t AnswerReport::Builder::getAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SplitReport::Builder::setRoutes( ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void AnswerReport::Builder::setAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Builder SplitReport::Builder::initRoutes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+
+inline  ::uint8_t AnswerReport::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void SplitReport::Builder::adoptRoutes(
-    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t AnswerReport::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>> SplitReport::Builder::disownRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void AnswerReport::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashReport::Reader::hasService() const {
+inline bool Quarantine::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashReport::Builder::hasService() {
+inline bool Quarantine::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CrashReport::Reader::getService() const {
+inline  ::capnp::Text::Reader Quarantine::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::getService() {
+inline  ::capnp::Text::Builder Quarantine::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setService( ::capnp::Text::Reader value) {
+inline void Quarantine::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder Quarantine::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CrashReport::Builder::adoptService(
+inline void Quarantine::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> Quarantine::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CrashReport::Reader::hasPart() const {
+inline bool Quarantine::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashReport::Builder::hasPart() {
+inline bool Quarantine::Builder::hasPart() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CrashReport::Reader::getPart() const {
+inline  ::capnp::Text::Reader Quarantine::Reader::getPart() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::getPart() {
+inline  ::capnp::Text::Builder Quarantine::Builder::getPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setPart( ::capnp::Text::Reader value) {
+inline void Quarantine::Builder::setPart( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::initPart(unsigned int size) {
+inline  ::capnp::Text::Builder Quarantine::Builder::initPart(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CrashReport::Builder::adoptPart(
+inline void Quarantine::Builder::adoptPart(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownPart() {
+inline ::capnp::Orphan< ::capnp::Text> Quarantine::Builder::disownPart() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CrashReport::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t Quarantine::Reader::getNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool CrashReport::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t Quarantine::Builder::getNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader CrashReport::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Quarantine::Builder::setNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline bool Quarantine::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline bool Quarantine::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void Quarantine::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
-inline void CrashReport::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Quarantine::Reader::getTrials() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Quarantine::Builder::getTrials() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Quarantine::Builder::setTrials( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t CrashReport::Reader::getStartedAtMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Quarantine::Reader::getAnsweredBefore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t CrashReport::Builder::getStartedAtMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Quarantine::Builder::getAnsweredBefore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setStartedAtMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Quarantine::Builder::setAnsweredBefore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t CrashReport::Reader::getSentAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Quarantine::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t CrashReport::Builder::getSentAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Quarantine::Builder::getCrashes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setSentAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Quarantine::Builder::setCrashes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t CrashReport::Reader::getCrashAgeUs() const {
+inline  ::int64_t Quarantine::Reader::getSinceAgeUs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t CrashReport::Builder::getCrashAgeUs() {
+inline  ::int64_t Quarantine::Builder::getSinceAgeUs() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setCrashAgeUs( ::int64_t value) {
+inline void Quarantine::Builder::setSinceAgeUs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t CrashReport::Reader::getKind() const {
+inline  ::int64_t Quarantine::Reader::getChangedAgeUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Quarantine::Builder::getChangedAgeUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Quarantine::Builder::setChangedAgeUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Quarantine::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t CrashReport::Builder::getKind() {
+inline  ::uint8_t Quarantine::Builder::getKind() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Quarantine::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Quarantine::Reader::hasWith() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Quarantine::Builder::hasWith() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Quarantine::Reader::getWith() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Quarantine::Builder::getWith() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Quarantine::Builder::setWith( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Quarantine::Builder::setWith(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Quarantine::Builder::initWith(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Quarantine::Builder::adoptWith(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void CrashReport::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Quarantine::Builder::disownWith() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CrashReport::Reader::getRequest() const {
+inline  ::uint64_t QuarantineMessage::Reader::getDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashReport::Builder::getRequest() {
+inline  ::uint64_t QuarantineMessage::Builder::getDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+inline void QuarantineMessage::Builder::setDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AnswerReport::Reader::hasService() const {
+inline bool QuarantineMessage::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerReport::Builder::hasService() {
+inline bool QuarantineMessage::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AnswerReport::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader QuarantineMessage::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AnswerReport::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AnswerReport::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void QuarantineMessage::Builder::setCrashes( ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AnswerReport::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AnswerReport::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void QuarantineMessage::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AnswerReport::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>> QuarantineMessage::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AnswerReport::Reader::hasPart() const {
+inline bool QuarantineMessage::Reader::hasAnswers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerReport::Builder::hasPart() {
+inline bool QuarantineMessage::Builder::hasAnswers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AnswerReport::Reader::getPart() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Reader QuarantineMessage::Reader::getAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AnswerReport::Builder::getPart() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::getAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AnswerReport::Builder::setPart( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void QuarantineMessage::Builder::setAnswers( ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AnswerReport::Builder::initPart(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::initAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AnswerReport::Builder::adoptPart(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void QuarantineMessage::Builder::adoptAnswers(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AnswerReport::Builder::disownPart() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>> QuarantineMessage::Builder::disownAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t AnswerReport::Reader::getAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QuarantineMessage::Reader::hasQuarantines() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t AnswerReport::Builder::getAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QuarantineMessage::Builder::hasQuarantines() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void AnswerReport::Builder::setAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Reader QuarantineMessage::Reader::getQuarantines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t AnswerReport::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::getQuarantines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t AnswerReport::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline void QuarantineMessage::Builder::setQuarantines( ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void AnswerReport::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::initQuarantines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineMessage::Builder::adoptQuarantines(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>> QuarantineMessage::Builder::disownQuarantines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Quarantine::Reader::hasService() const {
+inline bool EndpointStart::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Quarantine::Builder::hasService() {
+inline bool EndpointStart::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Quarantine::Reader::getService() const {
+inline  ::capnp::Text::Reader EndpointStart::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Quarantine::Builder::getService() {
+inline  ::capnp::Text::Builder EndpointStart::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Quarantine::Builder::setService( ::capnp::Text::Reader value) {
+inline void EndpointStart::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Quarantine::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointStart::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Quarantine::Builder::adoptService(
+inline void EndpointStart::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Quarantine::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointStart::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Quarantine::Reader::hasPart() const {
+inline  ::int64_t EndpointStart::Reader::getStartedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EndpointStart::Builder::getStartedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointStart::Builder::setStartedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkspaceCount::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Quarantine::Builder::hasPart() {
+inline bool WorkspaceCount::Builder::hasWorkspace() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Quarantine::Reader::getPart() const {
+inline  ::capnp::Text::Reader WorkspaceCount::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Quarantine::Builder::getPart() {
+inline  ::capnp::Text::Builder WorkspaceCount::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Quarantine::Builder::setPart( ::capnp::Text::Reader value) {
+inline void WorkspaceCount::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Quarantine::Builder::initPart(unsigned int size) {
+inline  ::capnp::Text::Builder WorkspaceCount::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Quarantine::Builder::adoptPart(
+inline void WorkspaceCount::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Quarantine::Builder::disownPart() {
+inline ::capnp::Orphan< ::capnp::Text> WorkspaceCount::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Quarantine::Reader::getNumber() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t WorkspaceCount::Reader::getCount() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Quarantine::Builder::getNumber() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t WorkspaceCount::Builder::getCount() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Quarantine::Builder::setNumber( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void WorkspaceCount::Builder::setCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Quarantine::Reader::getEnded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool Quarantine::Builder::getEnded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void Quarantine::Builder::setEnded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Quarantine::Reader::getTrials() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t UsageWindow::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Quarantine::Builder::getTrials() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t UsageWindow::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Quarantine::Builder::setTrials( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void UsageWindow::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Quarantine::Reader::getAnsweredBefore() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline bool UsageWindow::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Quarantine::Builder::getAnsweredBefore() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline bool UsageWindow::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Quarantine::Builder::setAnsweredBefore(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Reader UsageWindow::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Quarantine::Reader::getCrashes() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Quarantine::Builder::getCrashes() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void UsageWindow::Builder::setCounts( ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Quarantine::Builder::setCrashes( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::int64_t Quarantine::Reader::getSinceAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void UsageWindow::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>> UsageWindow::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::WorkspaceCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Quarantine::Builder::getSinceAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ZoneLoad::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Quarantine::Builder::setSinceAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool ZoneLoad::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Quarantine::Reader::getChangedAgeUs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader ZoneLoad::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t Quarantine::Builder::getChangedAgeUs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ZoneLoad::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Quarantine::Builder::setChangedAgeUs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void ZoneLoad::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t Quarantine::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ZoneLoad::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint8_t Quarantine::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void ZoneLoad::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Quarantine::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> ZoneLoad::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Quarantine::Reader::hasWith() const {
+inline bool ZoneLoad::Reader::hasZone() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Quarantine::Builder::hasWith() {
+inline bool ZoneLoad::Builder::hasZone() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Quarantine::Reader::getWith() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Quarantine::Builder::getWith() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ZoneLoad::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Quarantine::Builder::setWith( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder ZoneLoad::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Quarantine::Builder::setWith(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ZoneLoad::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Quarantine::Builder::initWith(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ZoneLoad::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Quarantine::Builder::adoptWith(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ZoneLoad::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Quarantine::Builder::disownWith() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ZoneLoad::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t QuarantineMessage::Reader::getDigest() const {
+inline  ::uint64_t ZoneLoad::Reader::getInFlight() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t QuarantineMessage::Builder::getDigest() {
+inline  ::uint64_t ZoneLoad::Builder::getInFlight() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineMessage::Builder::setDigest( ::uint64_t value) {
+inline void ZoneLoad::Builder::setInFlight( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuarantineMessage::Reader::hasCrashes() const {
+inline bool DutyReport::Reader::hasSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineMessage::Builder::hasCrashes() {
+inline bool DutyReport::Builder::hasSource() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader QuarantineMessage::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader DutyReport::Reader::getSource() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder DutyReport::Builder::getSource() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void QuarantineMessage::Builder::setCrashes( ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void DutyReport::Builder::setSource( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder DutyReport::Builder::initSource(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineMessage::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void DutyReport::Builder::adoptSource(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>> QuarantineMessage::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> DutyReport::Builder::disownSource() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool QuarantineMessage::Reader::hasAnswers() const {
+inline  ::uint64_t DutyReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DutyReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DutyReport::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DutyReport::Reader::getSummed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool DutyReport::Builder::getSummed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void DutyReport::Builder::setSummed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DutyReport::Reader::hasWindows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineMessage::Builder::hasAnswers() {
+inline bool DutyReport::Builder::hasWindows() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Reader QuarantineMessage::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader DutyReport::Reader::getWindows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder DutyReport::Builder::getWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void QuarantineMessage::Builder::setAnswers( ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void DutyReport::Builder::setWindows( ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>::Builder DutyReport::Builder::initWindows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineMessage::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void DutyReport::Builder::adoptWindows(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>> QuarantineMessage::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::AnswerReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>> DutyReport::Builder::disownWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::UsageWindow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool QuarantineMessage::Reader::hasQuarantines() const {
+inline bool DutyReport::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool QuarantineMessage::Builder::hasQuarantines() {
+inline bool DutyReport::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Reader QuarantineMessage::Reader::getQuarantines() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Reader DutyReport::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::getQuarantines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Builder DutyReport::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void QuarantineMessage::Builder::setQuarantines( ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void DutyReport::Builder::setLoads( ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>::Builder QuarantineMessage::Builder::initQuarantines(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>::Builder DutyReport::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void QuarantineMessage::Builder::adoptQuarantines(
-    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void DutyReport::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>> QuarantineMessage::Builder::disownQuarantines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::Quarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>> DutyReport::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::mimosahub::wire::ZoneLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointStart::Reader::hasEndpoint() const {
+inline  ::uint64_t DutyReport::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DutyReport::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DutyReport::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DutyReport::Reader::hasZone() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointStart::Builder::hasEndpoint() {
+inline bool DutyReport::Builder::hasZone() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointStart::Reader::getEndpoint() const {
+inline  ::capnp::Text::Reader DutyReport::Reader::getZone() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointStart::Builder::getEndpoint() {
+inline  ::capnp::Text::Builder DutyReport::Builder::getZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void EndpointStart::Builder::setEndpoint( ::capnp::Text::Reader value) {
+inline void DutyReport::Builder::setZone( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointStart::Builder::initEndpoint(unsigned int size) {
+inline  ::capnp::Text::Builder DutyReport::Builder::initZone(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void EndpointStart::Builder::adoptEndpoint(
+inline void DutyReport::Builder::adoptZone(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointStart::Builder::disownEndpoint() {
+inline ::capnp::Orphan< ::capnp::Text> DutyReport::Builder::disownZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t EndpointStart::Reader::getStartedAtMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t EndpointStart::Builder::getStartedAtMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void EndpointStart::Builder::setStartedAtMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -5377,6 +6394,73 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool StageProtocol::ReportDutiesParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageProtocol::ReportDutiesParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::mimosahub::wire::DutyReport::Reader StageProtocol::ReportDutiesParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::DutyReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::mimosahub::wire::DutyReport::Builder StageProtocol::ReportDutiesParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::DutyReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::mimosahub::wire::DutyReport::Pipeline StageProtocol::ReportDutiesParams::Pipeline::getReport() {
+  return  ::mimosahub::wire::DutyReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void StageProtocol::ReportDutiesParams::Builder::setReport( ::mimosahub::wire::DutyReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::mimosahub::wire::DutyReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::mimosahub::wire::DutyReport::Builder StageProtocol::ReportDutiesParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::DutyReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageProtocol::ReportDutiesParams::Builder::adoptReport(
+    ::capnp::Orphan< ::mimosahub::wire::DutyReport>&& value) {
+  ::capnp::_::PointerHelpers< ::mimosahub::wire::DutyReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::mimosahub::wire::DutyReport> StageProtocol::ReportDutiesParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::mimosahub::wire::DutyReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StageProtocol::ReportDutiesResults::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReportDutiesResults::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReportDutiesResults::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StageProtocol::ReportDutiesResults::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReportDutiesResults::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReportDutiesResults::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
