--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -419,6 +419,17 @@
     return state != nullptr && now < state->coldUntil;
 }
 
+std::map<std::pair<ServiceId, ZoneId>, std::uint64_t> EndpointSelector::inFlightByZone() const
+{
+    std::map<std::pair<ServiceId, ZoneId>, std::uint64_t> sums;
+    for (const auto &[service, state] : m_services) {
+        for (const auto &[id, endpoint] : state.endpoints) {
+            sums[{service, endpoint.listed.info.zone}] += static_cast<std::uint64_t>(std::max(0, endpoint.running));
+        }
+    }
+    return sums;
+}
+
 int EndpointSelector::inFlight(const ServiceId &service) const
 {
     const auto it = m_services.find(service);
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -128,6 +128,9 @@
     }
     /// Requests of \a service that this daemon has in flight.
     [[nodiscard]] int inFlight(const ServiceId &service) const;
+    /// Requests that this daemon has in flight, by service and zone of the endpoint. Contains a zero
+    /// for each service and zone with endpoints and without requests.
+    [[nodiscard]] std::map<std::pair<ServiceId, ZoneId>, std::uint64_t> inFlightByZone() const;
 
 private:
     struct State {
--- a/src/forward/gateway_configuration.h
+++ b/src/forward/gateway_configuration.h
@@ -83,6 +83,15 @@
     friend bool operator==(const BatchRule &, const BatchRule &) = default;
 };
 
+/// Bounds of the number of a service's endpoints in each zone, which the deployment orders itself.
+struct ScaleRule {
+    int min = 0;
+    int max = 0; ///< At least min.
+    Duration bootTime{}; ///< From an order until a new endpoint serves.
+
+    friend bool operator==(const ScaleRule &, const ScaleRule &) = default;
+};
+
 /// A service and the limits of its endpoints.
 struct ServiceRule {
     ServiceId id;
@@ -91,6 +100,7 @@
     double coldRate = 0.0; ///< Requests per second that a cold endpoint accepts; 0 if unlimited.
     std::optional<EngineRule> engine; ///< Present for model engines.
     std::optional<BatchRule> batch; ///< Present for services of stages.
+    std::optional<ScaleRule> scale; ///< Present if the number of endpoints is ordered.
 
     friend bool operator==(const ServiceRule &, const ServiceRule &) = default;
 };
