Carry the duties out on the daemon that holds the lease

Usage reports and scale orders are sent to the platform API by one daemon at a time. Counts of a window are written to the store before they are reported, so that the next holder repeats the same. Deployments without duties in their settings start none of it.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -12,6 +12,7 @@
 #include "gateway/gateway_daemon.h"
 #include "platform/call_messages.h"
 #include "platform/documents.h"
+#include "platform/duty_messages.h"
 #include "platform/store_client.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -160,10 +161,11 @@
 {
     const platform::PlatformCalls calls;
     const platform::PlatformDocuments documents;
+    const platform::PlatformDuties duties;
     const auto makeStore = [](http::ConnectionPool &pool, const Address &address) {
         return std::make_unique<platform::StoreClient>(pool, address);
     };
-    return runGateway(settings, {calls, documents, makeStore, [path] { return GatewaySettings::load(path); }});
+    return runGateway(settings, {calls, documents, duties, makeStore, [path] { return GatewaySettings::load(path); }});
 }
 
 /// Checks the settings in \a path and, unless \a checkOnly, runs the kind of daemon
--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -27,6 +27,7 @@
     Status, ///< Progress of orders, written by daemons.
     Daemons, ///< Addresses at which daemons reach each other; each writes its own.
     Quarantines, ///< Content of requests that crashes endpoints, written by daemons.
+    Duties, ///< Lease of the deployment's duties and what was agreed for them, written by daemons.
 };
 
 /// The name of \a table in log messages, such as "operator-documents".
--- a/src/follow/keyed_table.cc
+++ b/src/follow/keyed_table.cc
@@ -22,6 +22,8 @@
         return "quarantines";
     case StoreTable::Daemons:
         return "daemons";
+    case StoreTable::Duties:
+        return "duties";
     }
     return "";
 }
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -646,11 +646,22 @@
 void ForwardedRequest::noteFirstByte()
 {
     m_sends->recordAnswerBegun();
+    recordUsage();
     if (!m_firstByte) {
         m_firstByte = m_context.clock.now() - m_sentAt;
     }
 }
 
+// A stream begins to run with its first event, a plain request when the endpoint gets it.
+void ForwardedRequest::recordUsage()
+{
+    if (m_context.usage == nullptr || m_workspace == nullptr || std::exchange(m_usageCounted, true)) {
+        return;
+    }
+    m_context.usage->recordBegin(m_workspace->id,
+                                 m_route->streaming ? Duration::zero() : Duration(m_context.clock.now() - m_sentAt));
+}
+
 http::Awaitable<bool> ForwardedRequest::awaitFirstByte(EndpointSend &send)
 {
     for (int silences = 1; m_sends->policy().allowsAnotherSend(); ++silences) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -7,6 +7,7 @@
 #include "forward/send_policy.h"
 #include "gateway/call_protocol.h"
 #include "gateway/crash_detector.h"
+#include "gateway/duty_reporter.h"
 #include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
@@ -60,6 +61,7 @@
     Random &random;
     StopState &stop;
     ZoneId zone; ///< This daemon's.
+    DutyReporter *usage; ///< Counts requests that run; null if usage is not reported.
 };
 
 /// The life of one request that is forwarded as it is: route, stages, sends, and
@@ -137,6 +139,7 @@
     [[nodiscard]] SendSituation situation() const;
     [[nodiscard]] ForwardOptions options(const EndpointId &endpoint) const;
     void noteFirstByte();
+    void recordUsage();
     void noteStreamCut();
     void logEnd(std::string_view outcome, std::string_view detail);
 
@@ -170,6 +173,7 @@
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
     bool m_sending = false; ///< A send has begun whose end m_sends doesn't know yet.
     bool m_logged = false;
+    bool m_usageCounted = false;
 };
 
 } // namespace mimosahub
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -76,7 +76,8 @@
 
 GatewayControl::GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
                                const MakeStore &makeStore, TableQueryClient &asker, TableRelay &endpointTable,
-                               MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks, std::uint64_t seed)
+                               const DutyShared &duties, MetricRegistry &metrics, GatewayViews &views,
+                               Callbacks callbacks, std::uint64_t seed)
     : m_clock(clock),
       m_documents(documents),
       m_views(views),
@@ -92,6 +93,10 @@
       m_rollouts(m_io, clock, *m_store, documents, *this, m_random),
       m_quarantines(m_io, clock, *m_store, *this, m_random,
                     [this](std::vector<Quarantine> stored) { m_callbacks.quarantinesStored(std::move(stored)); }),
+      m_duties(settings.duties && settings.duties->any()
+                   ? std::make_unique<DutyLoop>(m_io, *m_store, m_pool, static_cast<KeyedFollower::Listener &>(*this),
+                                                m_random, settings, duties, metrics)
+                   : nullptr),
       m_directory(settings.store.lapseGrace),
       m_self(entryOf(settings, clock)),
       m_announceTimer(m_io),
@@ -114,6 +119,9 @@
     m_endpoints.start();
     m_daemons.start();
     m_quarantines.start();
+    if (m_duties) {
+        m_duties->start();
+    }
     http::spawn(m_io, announceLoop());
     m_thread = std::thread([this] { http::runEventLoop(m_io, "control"); });
 }
@@ -131,6 +139,9 @@
         m_daemons.stop();
         m_rollouts.stop();
         m_quarantines.stop();
+        if (m_duties) {
+            m_duties->stop();
+        }
         m_io.stop();
     });
     m_thread.join();
@@ -154,6 +165,10 @@
     if (table == StoreTable::Quarantines) {
         m_quarantines.takeChanges(changes, complete);
     }
+    if (table == StoreTable::Duties) {
+        m_duties->takeChanges(changes, complete);
+        return;
+    }
     m_endpointsRead = m_endpointsRead || (table == StoreTable::Endpoints && complete);
     publish();
 }
@@ -172,6 +187,7 @@
         break;
     case StoreTable::Status:
     case StoreTable::Quarantines:
+    case StoreTable::Duties:
         break; // Taken as a whole.
     }
 }
@@ -344,6 +360,9 @@
         view->daemons.push_back(entry);
     }
     view->rollouts = m_rollouts.list();
+    if (m_duties) {
+        m_duties->setView(*view);
+    }
     m_views.store(std::move(view));
     checkCaughtUp();
     m_callbacks.viewChanged();
@@ -406,6 +425,9 @@
                 follower->restartRead();
             }
         }
+        if (m_duties && table != StoreTable::Duties) {
+            m_duties->storeRegained();
+        }
         if (table != StoreTable::Status) {
             m_rollouts.storeRegained();
         }
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -4,6 +4,7 @@
 #include "follow/keyed_follower.h"
 #include "forward/endpoint_directory.h"
 #include "gateway/document_reader.h"
+#include "gateway/duty_loop.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
 #include "gateway/quarantine_store_loop.h"
@@ -37,7 +38,8 @@
     /// All arguments must outlive this object.
     GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
                    const MakeStore &makeStore, TableQueryClient &asker, TableRelay &endpointTable,
-                   MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks, std::uint64_t seed);
+                   const DutyShared &duties, MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks,
+                   std::uint64_t seed);
     ~GatewayControl() override;
 
     void start();
@@ -95,6 +97,7 @@
     KeyedFollower m_daemons;
     RolloutStatusLoop m_rollouts;
     QuarantineStoreLoop m_quarantines;
+    std::unique_ptr<DutyLoop> m_duties; ///< Null if there are no duties.
     EndpointDirectory m_directory;
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::map<std::string, ZoneId> m_closedZones; ///< By the key of the order.
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -33,8 +33,9 @@
 {
 public:
     /// All arguments must outlive the servers.
-    SideServers(boost::asio::io_context &io, const Clock &clock, MetricRegistry &metrics, GatewayTraffic &traffic)
-        : m_io(io), m_clock(clock), m_metrics(metrics), m_traffic(traffic)
+    SideServers(boost::asio::io_context &io, const Clock &clock, MetricRegistry &metrics, GatewayTraffic &traffic,
+                const DutyBoard &duties)
+        : m_io(io), m_clock(clock), m_metrics(metrics), m_traffic(traffic), m_duties(duties)
     {
     }
 
@@ -56,6 +57,10 @@
                     http::makeResponse(200, http::kJsonType, m_traffic.quarantines().render(m_clock.now())));
                 co_return;
             }
+            if (path == "/duties") {
+                co_await exchange.answer(http::makeResponse(200, http::kJsonType, m_duties.status()));
+                co_return;
+            }
             if (path == "/quarantines/end") {
                 co_await exchange.answer(endQuarantine(exchange.request()));
                 co_return;
@@ -100,6 +105,7 @@
     const Clock &m_clock;
     MetricRegistry &m_metrics;
     GatewayTraffic &m_traffic;
+    const DutyBoard &m_duties;
     std::vector<std::shared_ptr<http::Server>> m_servers;
 };
 
@@ -178,12 +184,15 @@
     const auto seed =
         hashBytes(settings.instance.id.str(), static_cast<std::uint64_t>(clock.wallTime().time_since_epoch().count()));
     TableRelay endpointTable;
-    auto traffic = GatewayTraffic::create({clock, settings, views, adapter.calls, endpointTable, metrics}, seed);
+    DutyBoard duties;
+    auto traffic =
+        GatewayTraffic::create({clock, settings, views, adapter.calls, duties, endpointTable, metrics}, seed);
     if (!traffic.ok()) {
         return fail(traffic.status());
     }
     GatewayControl control(
-        clock, settings, adapter.documents, adapter.makeStore, **traffic, endpointTable, metrics, views,
+        clock, settings, adapter.documents, adapter.makeStore, **traffic, endpointTable, {adapter.duties, duties},
+        metrics, views,
         {[&] { (*traffic)->viewChanged(); },
          [&](std::vector<Quarantine> stored) { (*traffic)->takeStoredQuarantines(std::move(stored)); }},
         seed + 1);
@@ -194,7 +203,7 @@
              control.claimTrial(quarantine, std::move(onResult));
          }});
     std::atomic<bool> serving{true};
-    SideServers sides(control.io(), clock, metrics, **traffic);
+    SideServers sides(control.io(), clock, metrics, **traffic, duties);
     if (const auto status = sides.listen(settings.listen, [&] { return serving && control.caughtUp(); });
         !status.ok()) {
         return fail(status);
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -2,6 +2,7 @@
 
 #include "gateway/call_protocol.h"
 #include "gateway/document_reader.h"
+#include "gateway/duty_calls.h"
 #include "gateway/gateway_control.h"
 #include "gateway/gateway_settings.h"
 
@@ -12,6 +13,7 @@
 struct GatewayAdapter {
     const CallProtocol &calls;
     const DocumentReader &documents;
+    const DutyCalls &duties;
     GatewayControl::MakeStore makeStore;
     std::function<Checked<GatewaySettings>()> reload; ///< Reads the settings again.
 };
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -75,6 +75,12 @@
     Duration usageWindow = std::chrono::seconds(5); ///< Window k begins k times this after the start of 1970.
     Duration usageDue = std::chrono::seconds(10); ///< After a window's end.
     double usageTolerance = 0.05; ///< Relative error of a reported count.
+
+    /// Whether there is a duty that this program has.
+    [[nodiscard]] bool any() const
+    {
+        return usageReport || autoscale;
+    }
 };
 
 /// Settings of one daemon that forwards requests on a deployment whose store
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -59,6 +59,12 @@
     }
     self->m_router = std::move(*router);
     self->m_router->setNotices(self->m_notices);
+    if (shared.settings.duties && shared.settings.duties->any()) {
+        self->m_dutyReporter =
+            std::make_unique<DutyReporter>(*self->m_io, shared.settings, shared.duties, *self->m_router,
+                                           [self] { return self->m_selector.inFlightByZone(); });
+        self->m_router->setDuties(*self->m_dutyReporter);
+    }
     self->makeContext();
     auto server = http::Server::listen(*self->m_io, shared.settings.listen.callers, serverOptions({}),
                                        [self](http::Exchange &exchange) { return self->handle(exchange); });
@@ -97,10 +103,26 @@
 
 void GatewayTraffic::makeContext()
 {
-    m_context = std::make_unique<ForwardContext>(ForwardContext{
-        *m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector, m_notices, m_crashes,
-        m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics, m_affinities,
-        m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
+    m_context = std::make_unique<ForwardContext>(ForwardContext{*m_io,
+                                                                m_shared.clock,
+                                                                m_shared.protocol,
+                                                                m_shared.views,
+                                                                m_pool,
+                                                                *m_router,
+                                                                m_selector,
+                                                                m_notices,
+                                                                m_crashes,
+                                                                m_quarantine,
+                                                                m_secondSends,
+                                                                secondSendOptions(m_secondSendSettings, 1),
+                                                                m_usual,
+                                                                m_metrics,
+                                                                m_affinities,
+                                                                m_rollouts,
+                                                                m_random,
+                                                                m_stop,
+                                                                m_shared.settings.instance.zone,
+                                                                m_dutyReporter.get()});
 }
 
 GatewayTraffic::~GatewayTraffic()
@@ -112,6 +134,7 @@
     m_quarantine.stop();
     m_stages.stop();
     m_router.reset();
+    m_dutyReporter.reset(); // Its timer is one of m_io.
     m_pool.clear();
     m_io.reset();
 }
@@ -119,6 +142,9 @@
 void GatewayTraffic::start()
 {
     m_server->start();
+    if (m_dutyReporter) {
+        m_dutyReporter->start();
+    }
     m_thread = std::thread([this] { http::runEventLoop(*m_io, "traffic"); });
 }
 
@@ -194,6 +220,9 @@
     m_crashes.takeListing(view.endpoints);
     boundSecondSends(daemons);
     m_router->setDaemons(view.daemons);
+    if (m_dutyReporter) {
+        m_dutyReporter->setDaemons(view.daemons);
+    }
     m_rollouts.setView(view);
     setStages(view);
     applyRests();
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -19,6 +19,7 @@
     const GatewaySettings &settings;
     const GatewayViews &views;
     const CallProtocol &protocol;
+    DutyBoard &duties;
     TableRelay &endpointTable; ///< For daemons that ask this one.
     MetricRegistry &metrics;
 };
@@ -101,6 +102,7 @@
     ForwardMetrics m_metrics;
     std::map<RouteId, PromptAffinity> m_affinities;
     RolloutDirector m_rollouts;
+    std::unique_ptr<DutyReporter> m_dutyReporter; ///< Null if there are no duties.
     StopState m_stop;
     std::unique_ptr<ForwardContext> m_context;
     std::shared_ptr<http::Server> m_server;
--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -121,6 +121,7 @@
                          StageRunner &runner, TableRelay &endpointTable, MetricRegistry &metrics)
     : m_clock(clock),
       m_self(settings.instance.id),
+      m_dutyKey("duties of " + settings.instance.zone.str()),
       m_relayKey("tables of " + settings.instance.zone.str()),
       m_runner(runner),
       m_endpointTable(endpointTable),
@@ -405,6 +406,34 @@
     }
 }
 
+InstanceId StageRouter::dutyRelay() const
+{
+    return m_daemons.ownerOf(m_dutyKey);
+}
+
+void StageRouter::reportDuties(const InstanceId &peer, const DutyReport &report, DutyPeers::AnswerCallback onAnswer)
+{
+    const auto address = m_daemons.addressOf(peer);
+    if (!address) {
+        onAnswer(std::nullopt);
+        return;
+    }
+    m_service->reportDuties(*address, report, [this, peer, onAnswer = std::move(onAnswer)](const auto &answer) {
+        if (answer.ok()) {
+            m_daemons.recordResponse(peer, m_clock.now());
+        } else {
+            m_daemons.recordFailure(peer, m_clock.now());
+            armWatch();
+        }
+        onAnswer(answer.ok() ? std::optional(*answer) : std::nullopt);
+    });
+}
+
+DutyReportAnswer StageRouter::takeDutyReport(const DutyReport &report)
+{
+    return m_duties == nullptr ? DutyReportAnswer() : m_duties->takeReport(report);
+}
+
 std::optional<TableAnswer> StageRouter::readTable(StoreTable table, StoreOffset from)
 {
     return table == StoreTable::Endpoints ? m_endpointTable.answer(from, m_clock.now()) : std::nullopt;
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "follow/table_relay.h"
 #include "forward/daemon_directory.h"
+#include "gateway/duty_reporter.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/notice_recorder.h"
 #include "gateway/quarantine_director.h"
@@ -22,7 +23,11 @@
 /// Has pieces made by the daemon that plans the calls of their service, so that
 /// pieces of all daemons gather in the same calls. An order whose daemon fails or
 /// falls silent goes to the next one. Traffic thread only.
-class StageRouter : public StageWork, public RolloutPeers, public QuarantinePeers, private StageHandler
+class StageRouter : public StageWork,
+                    public RolloutPeers,
+                    public QuarantinePeers,
+                    public DutyPeers,
+                    private StageHandler
 {
 public:
     /// Opens the port for other daemons. All arguments must outlive the router.
@@ -52,6 +57,13 @@
     {
         m_quarantine = &director;
     }
+    /// Hands other daemons' reports for duties to \a reporter, which must outlive the router.
+    void setDuties(DutyReporter &reporter)
+    {
+        m_duties = &reporter;
+    }
+    [[nodiscard]] InstanceId dutyRelay() const override;
+    void reportDuties(const InstanceId &peer, const DutyReport &report, DutyPeers::AnswerCallback onAnswer) override;
     [[nodiscard]] std::vector<InstanceId> peers() const override
     {
         return m_daemons.others();
@@ -77,6 +89,7 @@
     std::optional<SplitDecision> takeSplitReport(const SplitReport &report) override;
     QuarantineMessage takeQuarantines(const QuarantineMessage &message) override;
     void takeLeaving(const std::vector<EndpointStart> &endpoints) override;
+    DutyReportAnswer takeDutyReport(const DutyReport &report) override;
     void releaseRemote(const InstanceId &daemon, const Address &address, const ServiceId &service,
                        std::vector<ResultHandle> handles);
 
@@ -91,12 +104,14 @@
 
     const Clock &m_clock;
     InstanceId m_self;
+    std::string m_dutyKey; ///< The daemon that it hashes to sums the reports of this one's zone.
     std::string m_relayKey; ///< The daemon that it hashes to reads the store's tables for this one.
     StageRunner &m_runner;
     TableRelay &m_endpointTable;
     RolloutDirector *m_rollouts = nullptr;
     QuarantineDirector *m_quarantine = nullptr;
     NoticeRecorder *m_notices = nullptr;
+    DutyReporter *m_duties = nullptr;
     DaemonDirectory m_daemons;
     std::map<ServiceId, BatchLoad> m_loads; ///< As other daemons said.
     std::set<ServiceId> m_planned; ///< Services for which this daemon plans.
