--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -61,6 +61,7 @@
         {"status", "[OFFSET]", "tell how far a change has got", 0, 1, {"wait", "wait-done", "timeout"}},
         {"explain", "service|endpoint|workspace NAME", "tell why traffic goes where it goes", 2, 2, {}},
         {"top", "", "show the present load of one daemon", 0, 0, {}},
+        {"duties", "", "show which daemon carries out the deployment's duties (metrics address)", 0, 0, {}},
         {"quarantines", "", "list the content of requests under which endpoints crashed (metrics address)", 0, 0, {}},
         {"end-quarantine", "SERVICE CONTENT", "serve requests with that content again (metrics address)", 2, 2, {}},
     };
--- a/src/ctl/session.cc
+++ b/src/ctl/session.cc
@@ -40,6 +40,7 @@
         Row{"status", &Session::status},
         Row{"explain", &Session::explain},
         Row{"top", &Session::top},
+        Row{"duties", &Session::duties},
         Row{"quarantines", &Session::quarantines},
         Row{"end-quarantine", &Session::endQuarantine},
     };
--- a/src/ctl/session.h
+++ b/src/ctl/session.h
@@ -45,6 +45,7 @@
     ExitCode status();
     ExitCode explain();
     ExitCode top();
+    ExitCode duties();
     ExitCode quarantines();
     ExitCode endQuarantine();
 
