Give the duties up if calls of the platform get no response

A holder that reached the store, but not the platform, kept the lease: its connections were made, and its calls stayed without a response.

--- a/src/gateway/duty_loop.cc
+++ b/src/gateway/duty_loop.cc
@@ -34,8 +34,8 @@
 /// Of a window's end, until its counts have come from all daemons: two hops with pauses of 0.4 s, and
 /// one repetition of each.
 constexpr Duration kCollectTime = 3s;
-/// Without a connection to the platform for so long, another daemon tries. A call without a response
-/// is no reason: it may be carried out late, after calls of the next holder.
+/// If the platform can't be reached for so long, another daemon tries. A call without a response is a
+/// reason only if the platform checks tokens: it may be carried out late, after calls of the next holder.
 constexpr Duration kUnreachedPatience = 2s;
 constexpr Duration kUnreachedPause = 8s; ///< Before a daemon that didn't reach the platform takes over again.
 constexpr double kCallShare = 0.5; ///< Of the platform's rate of calls.
@@ -419,7 +419,6 @@
         noteUnreached(matter);
         co_return DutyOutcome::Failed;
     }
-    m_unreachedSince.reset();
     const auto now = m_clock.now(); // Connecting may have taken a while, or the process was suspended.
     const auto time = std::min(kCallTimeout, m_lease.callTime(now));
     if (!m_lease.mayCall(now) || m_lease.token() != token || time < kShortestCall) {
@@ -432,6 +431,9 @@
     if (response.ok()) {
         m_pool.release(std::move(*connection));
         outcome = m_calls.outcomeOf(static_cast<int>(response->result_int()));
+        m_unreachedSince.reset();
+    } else if (m_duties.fenceChecked) {
+        noteUnreached(matter);
     }
     if (outcome == DutyOutcome::Fenced && m_lease.token() == token) {
         m_lease.refused(m_clock.now());
--- a/src/gateway/duty_loop.h
+++ b/src/gateway/duty_loop.h
@@ -72,7 +72,7 @@
     http::Awaitable<void> awaitRecord(StoreOffset offset);
     void startFollower(std::string_view why);
     void observeLoads();
-    /// No connection to the platform could be made.
+    /// A call of the platform failed without a response.
     void noteUnreached(std::string_view matter);
     void noteHolder();
     void publishStatus();
@@ -101,7 +101,7 @@
     std::optional<DutyLeaseRecord> m_shown; ///< The holder that was logged last.
     TimePoint m_shownAt;
     TimePoint m_observeAt;
-    std::optional<TimePoint> m_unreachedSince; ///< No connection could be made since.
+    std::optional<TimePoint> m_unreachedSince; ///< No call has got a response since.
     bool m_alone = true; ///< No other daemon may hold the lease.
     bool m_held = false;
     bool m_following = false;
