Let small calls of stages wait a little while the endpoints are nearly busy

Requests with stages waited for a free endpoint while calls went out nearly empty, each with its full fixed time. The metrics hold the time of these waits and the time of calls over the planner's estimate.

--- a/src/forward/batch_planner.cc
+++ b/src/forward/batch_planner.cc
@@ -1,7 +1,8 @@
 // A call starts when an endpoint has a free slot, with as many of the waiting pieces
 // as fit into it. While all endpoints are busy, pieces accumulate, so that calls are
-// full exactly when the load is high. Pieces whose request can still be on time go
-// first, then by rank and by due time.
+// full exactly when the load is high. While the endpoints are nearly busy, CallFill
+// may let the queue wait a little, so that its pieces share the fixed time of a call.
+// Pieces whose request can still be on time go first, then by rank and by due time.
 //
 // The results of a call occupy memory at the endpoint that made them until they are
 // dropped. No call is started whose results would not fit by the accounting of
@@ -32,7 +33,7 @@
 } // namespace
 
 BatchPlanner::BatchPlanner(const BatchRule &rule, const BatchPlannerOptions &options)
-    : m_options(options), m_memory(options.memory)
+    : m_options(options), m_memory(options.memory), m_fill(options.fill)
 {
     setRule(rule);
 }
@@ -103,6 +104,7 @@
     for (int i = 0; i < order.pieces; ++i) {
         m_queue.push_back({m_lastOrder, i, 0});
     }
+    m_arrived += static_cast<std::size_t>(order.pieces);
     open.order = std::move(order);
     m_orders.emplace(m_lastOrder, std::move(open));
     return m_lastOrder;
@@ -560,10 +562,11 @@
     running.expected = expectedTime(running.pieces.size());
     ++endpoint.running;
     m_memory.reserve(running.endpoint, running.bytes);
-    endpoint.freeAt = now + scaled(running.expected, endpoint.latencyRatio);
     BatchCall call;
     call.id = m_lastCall;
     call.endpoint = endpoint.listed;
+    call.expected = scaled(running.expected, endpoint.latencyRatio);
+    endpoint.freeAt = now + call.expected;
     for (const auto &piece : running.pieces) {
         call.pieces.push_back(toBatchPiece(piece, now));
     }
@@ -578,13 +581,53 @@
     return call;
 }
 
+CallFillState BatchPlanner::fillState(const std::vector<EndpointState *> &idle, TimePoint now) const
+{
+    CallFillState state;
+    state.callTime = m_rule.callTime;
+    state.pieceTime = m_rule.pieceTime;
+    state.maxPieces = static_cast<std::size_t>(m_rule.maxPieces);
+    state.queued = m_queue.size();
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.usable && endpoint.pausedUntil <= now) {
+            state.slots += m_rule.slots / std::max(1.0, endpoint.latencyRatio);
+        }
+    }
+    for (const auto *endpoint : idle) {
+        state.idleSlots += static_cast<std::size_t>(m_rule.slots - endpoint->running);
+    }
+    state.slack = m_rule.callTime;
+    for (const auto &piece : m_queue) {
+        const Duration slack = m_orders.at(piece.order).order.dueAt - now - expectedTime(state.maxPieces);
+        state.slack = std::min(state.slack, std::max(Duration::zero(), slack));
+    }
+    return state;
+}
+
+/// Whether the queue waits now to fill a call although an endpoint is free.
+bool BatchPlanner::holdsCalls(const std::vector<EndpointState *> &idle, TimePoint now)
+{
+    m_heldUntil = idle.empty() ? std::nullopt : m_fill.holdUntil(fillState(idle, now), now);
+    return m_heldUntil.has_value();
+}
+
 std::vector<BatchCall> BatchPlanner::takeCalls(TimePoint now)
 {
     m_memory.expire(now);
+    if (m_arrived > 0) {
+        m_fill.recordArrivals(std::exchange(m_arrived, 0), now);
+    }
     dropExpired(now);
     std::vector<BatchCall> calls;
     const auto idle = idleEndpoints(now);
     if (m_queue.empty() || (idle.empty() && now - m_queueCheckedAt < m_options.queueCheckInterval)) {
+        if (m_queue.empty()) {
+            static_cast<void>(m_fill.endHold(now));
+            m_heldUntil.reset();
+        }
+        return calls;
+    }
+    if (holdsCalls(idle, now)) {
         return calls;
     }
     m_queueCheckedAt = now;
@@ -600,6 +643,9 @@
             calls.push_back(std::move(*call));
         }
     }
+    if (!calls.empty()) {
+        m_fillWait += m_fill.endHold(now);
+    }
     return calls;
 }
 
@@ -701,6 +747,9 @@
     for (const auto &[id, state] : m_endpoints) {
         take(state.pausedUntil);
     }
+    if (m_heldUntil) {
+        take(*m_heldUntil);
+    }
     if (const auto change = m_memory.nextChange(now)) {
         take(*change);
     }
--- a/src/forward/batch_planner.h
+++ b/src/forward/batch_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/call_capacity.h"
+#include "forward/call_fill.h"
 #include "forward/endpoint_health.h"
 #include "forward/gateway_configuration.h"
 #include "forward/listed_endpoint.h"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Planning of batches: which pieces of a service's stages go to which endpoint, when
@@ -57,6 +59,7 @@
     ListedEndpoint endpoint;
     std::vector<BatchPiece> pieces;
     Duration timeout{}; ///< Until all its results are useless.
+    Duration expected{}; ///< Time that it probably takes at its endpoint.
 };
 
 /// How a call failed as a whole.
@@ -86,6 +89,7 @@
     /// its pieces are more than this.
     std::uint64_t minCrossZoneBytes = 1'000'000;
     double latencyRatioWeight = 0.3; ///< Weight of a new sample in an endpoint's latency ratio.
+    CallFillOptions fill;
     ResultMemoryOptions memory;
 };
 
@@ -151,6 +155,11 @@
     /// The time at which takeCalls() may return calls without a new event; absent if never.
     [[nodiscard]] std::optional<TimePoint> nextWakeup(TimePoint now) const;
     [[nodiscard]] BatchLoad load(TimePoint now) const;
+    /// How long pieces waited to fill calls since the last call, while an endpoint was free.
+    [[nodiscard]] Duration takeFillWait()
+    {
+        return std::exchange(m_fillWait, Duration::zero());
+    }
     /// Changes of endpoint health since the last call.
     [[nodiscard]] std::vector<EndpointHealthChange> takeHealthChanges()
     {
@@ -214,6 +223,8 @@
     [[nodiscard]] double lateShare(const std::vector<CallSlot> &slots, TimePoint now) const;
     void sortQueue(TimePoint now);
     [[nodiscard]] std::vector<EndpointState *> idleEndpoints(TimePoint now);
+    [[nodiscard]] CallFillState fillState(const std::vector<EndpointState *> &idle, TimePoint now) const;
+    [[nodiscard]] bool holdsCalls(const std::vector<EndpointState *> &idle, TimePoint now);
     [[nodiscard]] bool worthUsing(const EndpointState &endpoint, TimePoint now) const;
     [[nodiscard]] static std::optional<ZoneId> preferredZoneOf(const PieceOrder &order, std::uint64_t threshold);
     [[nodiscard]] std::map<ZoneId, ZoneWait> zoneWaits(TimePoint now) const;
@@ -244,6 +255,10 @@
     std::map<BatchCallId, RunningCall> m_calls;
     std::map<EndpointId, EndpointState> m_endpoints;
     ResultMemory m_memory;
+    CallFill m_fill;
+    std::size_t m_arrived = 0; ///< Pieces that were added since the last takeCalls().
+    std::optional<TimePoint> m_heldUntil; ///< Until then the queue waits to fill a call.
+    Duration m_fillWait{}; ///< Since the last takeFillWait().
     std::vector<EndedOrder> m_ended;
     EndpointHealthLog m_healthLog;
     PieceOrderId m_lastOrder;
--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -628,3 +628,45 @@
     planner.setEndpoints({endpoint("x"), restarted});
     cr_expect(planner.load(kStart + 1s).rest == Duration::zero());
 }
+
+// Nine of ten endpoints are busy. Guards against a small call that takes the last free endpoint
+// at once, and against a wait that nobody ends.
+Test(batch_planner, a_small_call_waits_a_little_for_others_while_endpoints_are_nearly_busy)
+{
+    BatchPlanner planner(rule(44), {});
+    std::vector<ListedEndpoint> endpoints;
+    for (int n = 0; n < 10; ++n) {
+        endpoints.push_back(endpoint("e" + std::to_string(n)));
+    }
+    planner.setEndpoints(endpoints);
+    for (int n = 0; n < 9; ++n) {
+        static_cast<void>(planner.add(order("large" + std::to_string(n), 44)));
+    }
+    cr_assert_eq(planner.takeCalls(kStart).size(), 9U);
+    static_cast<void>(planner.add(order("small", 2)));
+    cr_assert(planner.takeCalls(kStart).empty());
+    const auto wakeup = planner.nextWakeup(kStart);
+    cr_assert(wakeup);
+    cr_assert_lt(*wakeup, kStart + 40ms);
+    cr_assert_eq(planner.takeCalls(*wakeup).size(), 1U);
+    cr_assert_eq(planner.takeFillWait(), Duration(*wakeup - kStart));
+}
+
+// Guards against a wait where an order is late already.
+Test(batch_planner, nothing_waits_to_fill_a_call_beside_a_late_order)
+{
+    BatchPlanner planner(rule(44), {});
+    std::vector<ListedEndpoint> endpoints;
+    for (int n = 0; n < 10; ++n) {
+        endpoints.push_back(endpoint("e" + std::to_string(n)));
+    }
+    planner.setEndpoints(endpoints);
+    for (int n = 0; n < 9; ++n) {
+        static_cast<void>(planner.add(order("large" + std::to_string(n), 44)));
+    }
+    cr_assert_eq(planner.takeCalls(kStart).size(), 9U);
+    auto late = order("late", 2);
+    late.dueAt = kStart + 100ms;
+    static_cast<void>(planner.add(late));
+    cr_assert_eq(planner.takeCalls(kStart).size(), 1U);
+}
--- a/src/gateway/stage_runner.cc
+++ b/src/gateway/stage_runner.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace mimosahub
 {
@@ -24,6 +25,7 @@
 constexpr std::uint64_t kMaxShortAnswer = std::uint64_t(64) << 10U; ///< Bytes of an answer to a release or question.
 constexpr std::uint64_t kMaxAnswer = std::uint64_t(4) << 20U; ///< Bytes of a call's answer.
 constexpr int kMaxCopies = 2; ///< Copies of earlier answers that are passed over.
+constexpr std::array kRatioBounds = {0.5, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0};
 constexpr std::size_t kRecentAnswers = 4096; ///< That are recognized, of all endpoints together.
 
 BatchFailure failureOf(const http::ClientConnection &connection, const absl::Status &status)
@@ -110,7 +112,12 @@
       m_pieces(metrics.counter("mimosahub_stage_pieces_total", "Pieces in calls of stages' endpoints.")),
       m_failedCalls(metrics.counter("mimosahub_stage_calls_failed_total", "Calls of stages' endpoints that failed.")),
       m_copies(metrics.counter("mimosahub_stage_answer_copies_total",
-                               "Answers of stages' endpoints that came once more, where the next call's was due."))
+                               "Answers of stages' endpoints that came once more, where the next call's was due.")),
+      m_fillWaits(metrics.histogram("mimosahub_stage_fill_wait_seconds",
+                                    "Time that pieces waited to fill a call while an endpoint was free.")),
+      m_timeOverEstimate(metrics.histogram("mimosahub_stage_call_time_ratio",
+                                           "Time of calls of stages' endpoints over the planner's estimate.", {},
+                                           kRatioBounds))
 {
 }
 
@@ -290,6 +297,9 @@
         m_pieces.add(call.pieces.size());
         http::spawn(m_io, run(service, std::move(call)));
     }
+    if (const auto wait = desk.planner.takeFillWait(); wait > Duration::zero()) {
+        m_fillWaits.record(std::chrono::duration<double>(wait).count());
+    }
     for (auto &release : desk.planner.takeReleases(m_clock.now())) {
         http::spawn(m_io, drop(service, std::move(release)));
     }
@@ -365,6 +375,7 @@
     }
     auto &connections = deskOf(service)->connections;
     connections[call.id] = connection->get();
+    const auto sentAt = m_clock.now();
     const auto answer = co_await send(call, **connection);
     connections.erase(call.id);
     if (!answer.ok()) {
@@ -389,6 +400,8 @@
         co_return;
     }
     m_recentAnswers.record(*results);
+    m_timeOverEstimate.record(std::chrono::duration<double>(m_clock.now() - sentAt)
+                              / std::max<std::chrono::duration<double>>(call.expected, std::chrono::milliseconds(1)));
     deskOf(service)->planner.ended(call.id, *results, m_clock.now());
     schedule(service);
 }
--- a/src/gateway/stage_runner.h
+++ b/src/gateway/stage_runner.h
@@ -101,6 +101,8 @@
     Counter &m_pieces;
     Counter &m_failedCalls;
     Counter &m_copies;
+    Histogram &m_fillWaits;
+    Histogram &m_timeOverEstimate;
 };
 
 } // namespace mimosahub
