Choose endpoints by the work times that they report

An endpoint whose machine was slow for a moment got requests until its response times had moved the average, and daemons with old news chose the same idle one. WorkTimeEstimate combines the learnt pace with the reported ratio by its age, and learns from outcomes how much the ratio counts. With such reports, the request goes to the cheaper of two endpoints that are drawn with weights, and an old load counts as the mean one. Endpoints without reports are chosen as before.

--- a/src/forward/endpoint_selector.cc
+++ b/src/forward/endpoint_selector.cc
@@ -5,6 +5,10 @@
 // agree without communication, unless that endpoint is slow or loaded above its
 // bound.
 //
+// Where endpoints report how long work takes on their machines, the cost uses this as well
+// (WorkTimeEstimate), and the request goes to the cheaper of two endpoints that are drawn with
+// weights: daemons whose information is equally old would otherwise all choose the same one.
+//
 // Measurements decay: a slow endpoint counts as typical again after a while and so
 // gets trial requests. An endpoint that failed is paused and then tried first with
 // requests that may be sent again.
@@ -30,6 +34,7 @@
 
 constexpr double kTypicalLatencyRatio = 1.2; ///< Up to this ratio an endpoint counts as no slower than others.
 constexpr double kSlowLatencyRatio = 2.0; ///< Above this ratio an endpoint counts as slow and affinity is ignored.
+constexpr double kMinTimeEstimate = 0.5; ///< Of the usual time: below it, other endpoints are rather slow.
 constexpr double kErrorRateMargin = 0.2; ///< Excess over the service's error rate that is the endpoint's own.
 constexpr double kErrorRateCost = 8.0; ///< Cost per unit of error rate above the margin.
 constexpr double kOtherZoneCost = 0.02; ///< Added to the cost of an endpoint in another zone.
@@ -68,11 +73,11 @@
     }
     for (const auto &listed : endpoints) {
         auto &service = m_services[listed.info.service];
-        auto &state = service.endpoints[listed.info.id];
+        auto &state = service.endpoints.try_emplace(listed.info.id, State(m_options.workTime)).first->second;
         const bool isNew = state.listed.info.id.empty();
         if (!isNew && state.listed.startedAtMs != listed.startedAtMs) {
             const int running = state.running;
-            state = State();
+            state = State(m_options.workTime);
             state.running = running;
         }
         const bool newEntry =
@@ -114,10 +119,13 @@
     return each + (place < static_cast<std::uint64_t>(rest) ? 1 : 0);
 }
 
-double EndpointSelector::loadOf(const State &state, TimePoint now) const
+// Where endpoints report work times, an old load counts as the mean one: as zero, it would draw
+// all daemons to the endpoint of which they have heard least.
+double EndpointSelector::loadOf(const ServiceState &service, const State &state, TimePoint now) const
 {
     const double others = std::max(0, state.reportedLoad - state.running);
-    return state.running + others * decayFactor(now - state.reportedAt, m_options.loadHalfLife);
+    const double mean = state.workTime.isReported(now) ? std::max(0.0, service.meanLoad - state.running) : 0.0;
+    return state.running + mean + (others - mean) * decayFactor(now - state.reportedAt, m_options.loadHalfLife);
 }
 
 double EndpointSelector::currentLatencyRatio(const State &state, TimePoint now) const
@@ -127,17 +135,22 @@
     return latencyRatio > kTypicalLatencyRatio ? latencyRatio : std::min(1.0, latencyRatio);
 }
 
+double EndpointSelector::timeEstimate(const State &state, TimePoint now) const
+{
+    return std::max(kMinTimeEstimate, state.workTime.at(currentLatencyRatio(state, now), now));
+}
+
 double EndpointSelector::costOf(const ServiceState &service, const State &state, const EndpointQuery &query,
                                 TimePoint now) const
 {
-    const double load = loadOf(state, now) / std::max(1, state.listed.slots);
+    const double load = loadOf(service, state, now) / std::max(1, state.listed.slots);
     const double excessErrorRate = std::max(0.0, state.errorRate - service.errorRate - kErrorRateMargin);
     const double zoneCost = state.listed.info.zone == query.zone ? 0.0 : kOtherZoneCost;
     double fetchedBytes = 0.0;
     for (const auto &[zone, bytes] : query.inputBytes) {
         fetchedBytes += zone == state.listed.info.zone ? 0.0 : static_cast<double>(bytes);
     }
-    return (0.1 + load) * std::max(0.5, currentLatencyRatio(state, now)) + kErrorRateCost * excessErrorRate + zoneCost
+    return (0.1 + load) * timeEstimate(state, now) + kErrorRateCost * excessErrorRate + zoneCost
         + kFetchCostPerByte * fetchedBytes;
 }
 
@@ -179,9 +192,9 @@
     State *best = nullptr;
     std::uint64_t bestWeight = 0;
     for (auto *state : candidates) {
-        const bool loaded = state->running + 1 > bound || loadOf(*state, now) >= state->listed.slots;
+        const bool loaded = state->running + 1 > bound || loadOf(service, *state, now) >= state->listed.slots;
         const bool failing = state->errorRate > service.errorRate + kErrorRateMargin;
-        if (loaded || failing || currentLatencyRatio(*state, now) > kSlowLatencyRatio) {
+        if (loaded || failing || timeEstimate(*state, now) > kSlowLatencyRatio) {
             continue;
         }
         const auto weight = rendezvousWeight(query.affinity, state->listed.info.id.str());
@@ -222,6 +235,45 @@
     return state == nullptr ? std::nullopt : std::optional(state->listed.info);
 }
 
+/// Two of \a candidates, or all if there are fewer, with weights by slots over expected time.
+std::vector<EndpointSelector::State *> EndpointSelector::drawTwo(std::vector<State *> candidates, TimePoint now,
+                                                                 Random &random) const
+{
+    std::vector<State *> drawn;
+    while (drawn.size() < 2 && !candidates.empty()) {
+        std::vector<double> weights;
+        double total = 0.0;
+        for (const auto *state : candidates) {
+            weights.push_back(std::max(1, state->listed.slots) / timeEstimate(*state, now));
+            total += weights.back();
+        }
+        std::size_t n = 0;
+        for (double left = random.uniform() * total; n + 1 < weights.size() && left >= weights[n]; ++n) {
+            left -= weights[n];
+        }
+        drawn.push_back(candidates[n]);
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+    return drawn;
+}
+
+EndpointSelector::State *EndpointSelector::cheapest(const ServiceState &service, const std::vector<State *> &candidates,
+                                                    const EndpointQuery &query, TimePoint now, Random &random) const
+{
+    State *best = nullptr;
+    double bestCost = 0.0;
+    const auto start = random.below(candidates.size());
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        auto *state = candidates[(start + n) % candidates.size()];
+        const double cost = costOf(service, *state, query, now);
+        if (best == nullptr || cost < bestCost) {
+            best = state;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
 std::variant<ListedEndpoint, NoEndpointChosen> EndpointSelector::choose(const EndpointQuery &query, TimePoint now,
                                                                         Random &random)
 {
@@ -242,16 +294,9 @@
     }
     State *chosen = query.affinity.empty() ? nullptr : affinityTarget(service, usable, query, now);
     if (chosen == nullptr) {
-        const auto start = random.below(usable.size());
-        double bestCost = 0.0;
-        for (std::size_t n = 0; n < usable.size(); ++n) {
-            auto *state = usable[(start + n) % usable.size()];
-            const double cost = costOf(service, *state, query, now);
-            if (chosen == nullptr || cost < bestCost) {
-                chosen = state;
-                bestCost = cost;
-            }
-        }
+        const bool reported = std::any_of(usable.begin(), usable.end(),
+                                          [&](const auto *state) { return state->workTime.isReported(now); });
+        chosen = cheapest(service, reported ? drawTwo(usable, now, random) : usable, query, now, random);
     }
     ++chosen->running;
     chosen->tokens += query.tokens;
@@ -273,6 +318,9 @@
     endFlight(state, query);
     if (latencyRatio) {
         state.latencyRatio = currentLatencyRatio(state, now);
+        if (*latencyRatio > 0.0 && state.latencyRatio > 0.0) {
+            state.workTime.recordOutcome(*latencyRatio, state.latencyRatio, now);
+        }
         state.latencyRatio += m_options.latencyRatioWeight * (*latencyRatio - state.latencyRatio);
         state.latencySampledAt = now;
     }
@@ -408,11 +456,20 @@
 void EndpointSelector::recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now)
 {
     if (auto *state = find(endpoint)) {
+        auto &service = m_services.at(m_serviceOf.at(endpoint));
+        service.meanLoad += m_options.meanLoadWeight * (running + queued - service.meanLoad);
         state->reportedLoad = running + queued;
         state->reportedAt = now;
     }
 }
 
+void EndpointSelector::recordWorkTime(const EndpointId &endpoint, WorkTimeRatio ratio, TimePoint now)
+{
+    if (auto *state = find(endpoint)) {
+        state->workTime.record(ratio, now);
+    }
+}
+
 bool EndpointSelector::isCold(const EndpointId &endpoint, TimePoint now) const
 {
     const auto *state = find(endpoint);
--- a/src/forward/endpoint_selector.h
+++ b/src/forward/endpoint_selector.h
@@ -4,6 +4,7 @@
 #include "forward/endpoint_health.h"
 #include "forward/gateway_configuration.h"
 #include "forward/listed_endpoint.h"
+#include "forward/work_time_estimate.h"
 #include "mimosahub/outcome.h"
 
 #include <deque>
@@ -72,7 +73,9 @@
     double errorRateWeight = 0.1; ///< Weight of a new outcome in an endpoint's error rate.
     Duration noEndpointRetry = std::chrono::milliseconds(500);
     Duration overloadedRetry = std::chrono::milliseconds(250);
+    double meanLoadWeight = 0.1; ///< Weight of a new report in the mean load of a service's endpoints.
     Duration careAfterRest = std::chrono::seconds(1); ///< For which an endpoint that has rested counts as cold.
+    WorkTimeEstimateOptions workTime;
 };
 
 /// Keeps the endpoints of all services with the measurements of each, and selects
@@ -113,6 +116,8 @@
     void recordRest(const EndpointStart &endpoint, TimePoint until);
     /// Records the load that the endpoint reported: requests that run and that wait there.
     void recordLoad(const EndpointId &endpoint, int running, int queued, TimePoint now);
+    /// Records how long work takes at the endpoint now, as it reported it.
+    void recordWorkTime(const EndpointId &endpoint, WorkTimeRatio ratio, TimePoint now);
     /// Whether the endpoint is listed, is not leaving and its zone is open.
     [[nodiscard]] bool isUsable(const EndpointId &endpoint) const;
     /// Whether the endpoint is usable and doesn't rest.
@@ -131,6 +136,10 @@
 
 private:
     struct State {
+        explicit State(const WorkTimeEstimateOptions &options) : workTime(options)
+        {
+        }
+
         ListedEndpoint listed;
         bool usable = false; ///< It is listed, is not leaving and its zone is open.
         TimePoint coldUntil;
@@ -145,6 +154,7 @@
         double errorRate = 0.0; ///< Moving average of the share of failed responses.
         double latencyRatio = 1.0; ///< Moving average of response time over typical response time.
         TimePoint latencySampledAt;
+        WorkTimeEstimate workTime;
         EndpointHealth health = EndpointHealth::Healthy;
     };
     struct ServiceState {
@@ -152,6 +162,7 @@
         Duration coldTime{};
         double coldRate = 0.0;
         double errorRate = 0.0; ///< Moving average of the share of failed responses, over all endpoints.
+        double meanLoad = 0.0; ///< Moving average of the loads that endpoints reported.
         std::map<EndpointId, State> endpoints;
     };
 
@@ -164,8 +175,12 @@
                               TimePoint now) const;
     [[nodiscard]] int coldAllowance(const ServiceState &service, const EndpointId &endpoint) const;
     static void endFlight(State &state, const EndpointQuery &query);
-    [[nodiscard]] double loadOf(const State &state, TimePoint now) const;
+    [[nodiscard]] double loadOf(const ServiceState &service, const State &state, TimePoint now) const;
     [[nodiscard]] double currentLatencyRatio(const State &state, TimePoint now) const;
+    [[nodiscard]] double timeEstimate(const State &state, TimePoint now) const;
+    [[nodiscard]] State *cheapest(const ServiceState &service, const std::vector<State *> &candidates,
+                                  const EndpointQuery &query, TimePoint now, Random &random) const;
+    [[nodiscard]] std::vector<State *> drawTwo(std::vector<State *> candidates, TimePoint now, Random &random) const;
     [[nodiscard]] double costOf(const ServiceState &service, const State &state, const EndpointQuery &query,
                                 TimePoint now) const;
     void pause(State &state, SendEnd how, TimePoint now) const;
--- a/src/gateway/endpoint_send.cc
+++ b/src/gateway/endpoint_send.cc
@@ -45,6 +45,17 @@
     m_context.pool.release(std::move(m_connection));
 }
 
+void EndpointSend::recordLoad(const EndpointLoad &load)
+{
+    const auto now = m_context.clock.now();
+    if (load.running && load.queued) {
+        m_context.selector.recordLoad(m_endpoint.info.id, *load.running, *load.queued, now);
+    }
+    if (load.workTime) {
+        m_context.selector.recordWorkTime(m_endpoint.info.id, *load.workTime, now);
+    }
+}
+
 void EndpointSend::end(SendEnd how, std::optional<double> latencyRatio)
 {
     m_ended = true;
--- a/src/gateway/endpoint_send.h
+++ b/src/gateway/endpoint_send.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/endpoint_selector.h"
+#include "gateway/call_protocol.h"
 #include "http/client.h"
 
 #include <memory>
@@ -38,6 +39,8 @@
     {
         m_begun = true;
     }
+    /// Records the load that the endpoint reported in its response.
+    void recordLoad(const EndpointLoad &load);
     /// Records how the send ended.
     void end(SendEnd how, std::optional<double> latencyRatio);
     /// The endpoint was silent for longer than usual, and the send goes on. Counts
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -470,8 +470,8 @@
     if (report.result == SendResult::Lost && report.loss == SendLoss::BrokenOff) {
         m_context.crashes.record(endpoint, lostSend());
     }
-    if (const auto &load = report.head.load; load && load->running && load->queued) {
-        m_context.selector.recordLoad(endpoint.info.id, *load->running, *load->queued, m_context.clock.now());
+    if (report.head.load) {
+        send->recordLoad(*report.head.load);
     }
     std::optional<double> latencyRatio;
     if (const auto usual = m_context.usual.of(m_route->id); usual && m_firstByte) {
