Make the store's era a part of each position

A follower that had read past the end of the copy from which the store came back got 410 for good, and one before it took records at offsets that had been assigned again for known ones.

StoreOffset is the pair of era and offset. Relays and the answers between daemons carry it. In a new era a follower reads all keys again after a delay from 0 to 400 ms.

--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -120,7 +120,7 @@
   run @0 (order :PieceOrder) -> (result :PieceOrderResult, load :BatchLoad);
   release @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (loads :List(BatchLoad));
-  readTable @3 (table :UInt8, from :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord), documents :UInt64);
+  readTable @3 (table :UInt8, from :UInt64, era :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord), documents :UInt64, era :UInt64, documentsEra :UInt64);
   reportSplit @4 (report :SplitReport) -> (known :Bool, phase :UInt8, reason :Text);
   exchangeQuarantines @5 (message :QuarantineMessage) -> (message :QuarantineMessage);
   tellLeaving @6 (endpoints :List(EndpointStart)) -> ();
--- a/src/follow/keyed_follower.cc
+++ b/src/follow/keyed_follower.cc
@@ -83,6 +83,9 @@
 http::Awaitable<bool> KeyedFollower::readNext()
 {
     try {
+        if (m_eraDelay) {
+            co_await sleep(*std::exchange(m_eraDelay, std::nullopt));
+        }
         if (m_complete) {
             co_return co_await readNewRecords();
         }
@@ -103,6 +106,7 @@
     std::string after;
     std::set<std::string> continuedAfter;
     m_table.beginPages();
+    auto era = m_table.next().era();
     while (true) {
         const auto page = co_await m_store.newest(m_options.table, after);
         if (!page.ok()) {
@@ -112,6 +116,23 @@
             }
             co_return false;
         }
+        if (page->end.era() > m_table.next().era()) {
+            enterEra(StoreOffset(0, page->end.era()));
+            if (after.empty()) { // This is the first page of the new era.
+                m_eraDelay.reset();
+                m_table.beginPages();
+                era = page->end.era();
+            }
+        }
+        if (m_table.next().era() != era || page->end.era() != era) { // Pages of two eras: all are read again.
+            if (!m_stopped) {
+                m_listener.tableChanged(m_options.table, std::move(changes), false);
+                if (page->end.era() < m_table.next().era()) {
+                    reportFailure(absl::UnavailableError("a page of an earlier era"));
+                }
+            }
+            co_return false;
+        }
         m_table.applyPage(*page, changes);
         if (!page->more) {
             m_table.endPages(changes);
@@ -123,7 +144,7 @@
                 .with("table", storeTableName(m_options.table))
                 .with("after", after)
                 .with("keys", m_table.size());
-            m_table.abandonPages();
+            m_table.abandonPages(changes);
             break;
         }
         after = page->lastKey;
@@ -137,6 +158,43 @@
     co_return true;
 }
 
+void KeyedFollower::enterEra(StoreOffset first)
+{
+    m_complete = false;
+    m_eraDelay = m_random.jitter(m_options.eraSpread / 2, 1.0);
+    m_table.enterEra(first);
+    m_listener.eraEntered(m_options.table, first.era());
+}
+
+void KeyedFollower::learnEra(StoreEra era)
+{
+    if (era > m_table.next().era()) {
+        enterEra(StoreOffset(0, era));
+        restartRead();
+    }
+}
+
+// A store that states eras may answer so while its copy is still short; one that states
+// none says what can't be.
+void KeyedFollower::takeDropped(StoreOffset next)
+{
+    if (next.era() > m_table.next().era()) {
+        m_failures = 0;
+        enterEra(next);
+    } else if (next > m_table.next()) {
+        m_failures = 0;
+        m_complete = false;
+        m_table.skipTo(next);
+    } else {
+        reportFailure(
+            absl::InternalError("the store reports dropped records, but continues at or before the requested offset"));
+        if (next.era() > StoreEra()) {
+            m_complete = false;
+            m_table.enterEra(StoreOffset(next.value(), m_table.next().era()));
+        }
+    }
+}
+
 http::Awaitable<bool> KeyedFollower::readNewRecords()
 {
     m_reading = true;
@@ -153,16 +211,12 @@
         co_return false;
     }
     if (run->dropped) {
-        if (run->next <= m_table.next()) {
-            reportFailure(absl::InternalError(
-                "the store reports dropped records, but continues at or before the requested offset"));
-            co_return false;
-        }
-        m_failures = 0;
-        m_complete = false;
-        m_table.skipTo(run->next);
+        takeDropped(run->next);
         co_return false;
     }
+    if (run->next.era() != m_table.next().era()) {
+        co_return false; // Another table met a new era during the read.
+    }
     m_nextReadDelay = run->nextReadDelay.value_or(m_options.pause);
     m_listener.storeReached(m_options.table);
     std::vector<KeyedChange> changes;
--- a/src/follow/keyed_follower.h
+++ b/src/follow/keyed_follower.h
@@ -17,6 +17,8 @@
 struct KeyedFollowerOptions {
     StoreTable table = StoreTable::OperatorDocuments;
     Duration wait = std::chrono::seconds(20); ///< Maximum time that one read waits for a record.
+    /// Delay before all keys are read in a new era, spread evenly from 0 to this: all daemons read them.
+    Duration eraSpread = std::chrono::milliseconds(400);
     Duration pause{}; ///< Delay between a response and the next read, so that many changes cost one read.
     /// Delays of 100 ms, doubled with each failure up to 800 ms, each varied by up to half.
     BackoffOptions backoff = {std::chrono::milliseconds(100), 2.0, std::chrono::milliseconds(800), 0.5};
@@ -40,6 +42,10 @@
         virtual void storeReached(StoreTable table) = 0;
         /// A read failed.
         virtual void storeFailed(StoreTable table, const absl::Status &status) = 0;
+        /// The table is read again, since the store came back from a copy.
+        virtual void eraEntered(StoreTable /*table*/, StoreEra /*era*/)
+        {
+        }
     };
 
     /// All arguments must outlive the follower.
@@ -57,6 +63,13 @@
             m_restartTimer.wake();
         }
     }
+    /// The store is in \a era: if that is news, all keys are read again.
+    void learnEra(StoreEra era);
+    /// Of the last reading of all keys in a new era.
+    [[nodiscard]] const EraSummary &eraSummary() const
+    {
+        return m_table.eraSummary();
+    }
     [[nodiscard]] StoreTable table() const
     {
         return m_options.table;
@@ -74,6 +87,9 @@
     http::Awaitable<bool> readAllKeys();
     // False if the read failed or was cancelled, or if there is a gap.
     http::Awaitable<bool> readNewRecords();
+    /// Reads all keys again from \a first on, after a delay.
+    void enterEra(StoreOffset first);
+    void takeDropped(StoreOffset next);
     http::Awaitable<void> sleep(Duration duration);
     void reportFailure(const absl::Status &status);
 
@@ -87,6 +103,7 @@
     WakeTimer m_restartTimer; ///< Sleeps while a read is in flight; waking it cancels the read.
     int m_failures = 0; ///< Consecutive failed reads.
     Duration m_nextReadDelay{}; ///< Delay before the next read.
+    std::optional<Duration> m_eraDelay; ///< Before all keys are read in a new era.
     bool m_complete = false; ///< All keys were read and there has been no gap since.
     bool m_reading = false; ///< A read of new records is in flight.
     bool m_stopped = false;
--- a/src/follow/keyed_follower_test.cc
+++ b/src/follow/keyed_follower_test.cc
@@ -277,3 +277,70 @@
     follower.stop();
     io.run_for(100ms);
 }
+
+// The store came back from a copy and answers 410, which continues before the offset that was asked for.
+Test(keyed_follower, reads_all_keys_again_in_a_new_era)
+{
+    const StoreEra era(1);
+    ScriptedStore store;
+    const KeyedPage copy = {{{"a", "1", StoreOffset(3, era)}}, false, StoreOffset(4, era), "a"};
+    store.pages = {page("a", "1", 3, 40), copy};
+    store.runs = {KeyedRun{{{"b", "2", StoreOffset(40)}}, StoreOffset(41)}, KeyedRun{{}, StoreOffset(0, era), true},
+                  KeyedRun{{{"c", "3", StoreOffset(4, era)}}, StoreOffset(5, era)}};
+    const auto recorder = run(store);
+    const std::vector<std::string> expected = {"reached", "all: a=1", "reached", "changes: b=2",
+                                               "reached", "all: b=-", "reached", "changes: c=3"};
+    cr_assert(recorder.events == expected);
+    cr_assert(store.readFrom[2] == StoreOffset(4, era));
+}
+
+// The copy is still short: the store has fewer records than it said.
+Test(keyed_follower, recovers_from_a_position_that_a_store_with_eras_does_not_have)
+{
+    const StoreEra era(1);
+    ScriptedStore store;
+    const auto copy = [&](std::uint64_t offset) {
+        return KeyedPage{{{"a", "1", StoreOffset(offset, era)}}, false, StoreOffset(offset + 1, era), "a"};
+    };
+    store.pages = {copy(3), copy(1)};
+    store.runs = {KeyedRun{{}, StoreOffset(0, era), true},
+                  KeyedRun{{{"c", "3", StoreOffset(2, era)}}, StoreOffset(3, era)}};
+    const auto recorder = run(store);
+    cr_assert(recorder.events.back() == "changes: c=3", "%s", recorder.events.back().c_str());
+}
+
+// A page of the era before arrives after another table met the new one: it must not be applied.
+Test(keyed_follower, drops_a_page_of_an_earlier_era)
+{
+    const StoreEra era(2);
+    ScriptedStore store;
+    const KeyedPage late = {{{"a", "7", StoreOffset(9, StoreEra(1))}}, false, StoreOffset(10, StoreEra(1)), "a"};
+    const KeyedPage sound = {{{"a", "8", StoreOffset(3, era)}}, false, StoreOffset(4, era), "a"};
+    store.pages = {page("a", "1", 3, 4), late, sound};
+    store.runs = {KeyedRun{{}, StoreOffset(0, era), true}};
+    const auto recorder = run(store);
+    const std::vector<std::string> expected = {"reached", "all: a=1", "changes:", "failed", "reached", "all: a=8"};
+    cr_assert(recorder.events == expected);
+}
+
+// The read in flight waits for a record that the store no longer has: it would end only with its wait.
+Test(keyed_follower, a_waiting_read_ends_when_another_table_meets_a_new_era)
+{
+    const StoreEra era(1);
+    boost::asio::io_context io(1);
+    Random random(1);
+    ScriptedStore store;
+    store.pages = {page("a", "1", 3, 4), KeyedPage{{{"a", "2", StoreOffset(3, era)}}, false, StoreOffset(4, era), "a"}};
+    store.hangs = true;
+    Recorder recorder;
+    KeyedFollower follower(io, store, recorder, random, {});
+    store.onExhausted = [&] { follower.stop(); };
+    store.onHang = [&] { boost::asio::post(io, [&] { follower.learnEra(era); }); };
+    follower.start();
+    io.run_for(2s);
+    const std::vector<std::string> expected = {"reached", "all: a=1", "reached", "all: a=2"};
+    cr_assert(recorder.events.size() >= expected.size());
+    cr_assert(std::vector(recorder.events.begin(), recorder.events.begin() + 4) == expected);
+    follower.learnEra(era); // No news.
+    cr_assert(follower.next().era() == era);
+}
--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -7,8 +7,10 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <compare>
 #include <cstdint>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -32,7 +34,43 @@
 /// The name of \a table in log messages, such as "operator-documents".
 [[nodiscard]] std::string_view storeTableName(StoreTable table);
 
-using StoreOffset = Ordinal<struct StoreOffsetTag>; ///< Position of a record in a table's log, from 0.
+/// Increases each time that the store comes back from a copy of itself; 0 for a store that states none.
+using StoreEra = Ordinal<struct StoreEraTag>;
+
+/// Position of a record in a table's log: the store's era, and the offset from 0. In a new era offsets are assigned
+/// again from the end of the copy on, so that a position of a later era is after all of an earlier one.
+class StoreOffset
+{
+public:
+    constexpr StoreOffset() = default;
+    constexpr explicit StoreOffset(std::uint64_t value, StoreEra era = {}) : m_era(era), m_value(value)
+    {
+    }
+
+    [[nodiscard]] constexpr std::uint64_t value() const
+    {
+        return m_value;
+    }
+    [[nodiscard]] constexpr StoreEra era() const
+    {
+        return m_era;
+    }
+    [[nodiscard]] constexpr StoreOffset next() const
+    {
+        return StoreOffset(m_value + 1, m_era);
+    }
+
+    friend constexpr bool operator==(const StoreOffset &, const StoreOffset &) = default;
+    friend constexpr std::strong_ordering operator<=>(const StoreOffset &, const StoreOffset &) = default;
+    friend std::ostream &operator<<(std::ostream &out, const StoreOffset &offset)
+    {
+        return out << offset.m_era << ':' << offset.m_value;
+    }
+
+private:
+    StoreEra m_era;
+    std::uint64_t m_value = 0;
+};
 
 /// One record of a table.
 struct KeyedRecord {
@@ -55,7 +93,9 @@
 struct KeyedRun {
     std::vector<KeyedRecord> records;
     StoreOffset next; ///< Offset from which to continue reading.
-    bool dropped = false; ///< The store has dropped the records from the read's offset up to \a next; records is empty.
+    /// The store has dropped the records from the read's offset up to \a next, or came back from a copy, which
+    /// \a next shows by its era; records is empty.
+    bool dropped = false;
     /// Delay before the next read; absent: KeyedFollowerOptions::pause.
     std::optional<Duration> nextReadDelay = std::nullopt;
 };
@@ -69,13 +109,15 @@
     Appended,
     Conflict, ///< The table did not end at the expected offset; nothing was appended.
     Refused, ///< Nothing was appended.
-    Lost, ///< There was no response: the record may have been appended or may be appended later.
+    /// There was no response: the record may have been appended or may be appended later. Also if the condition
+    /// was checked against the log of another era.
+    Lost,
 };
 
 /// The name of \a result in log messages, such as "appended".
 [[nodiscard]] std::string_view appendResultName(AppendResult result);
 
-/// Access to the store. Control thread only.
+/// Access to the store. Control thread only. Responses of an earlier era than one known are errors.
 class KeyedStore
 {
 public:
--- a/src/follow/table_relay.cc
+++ b/src/follow/table_relay.cc
@@ -56,10 +56,17 @@
 {
     const std::lock_guard lock(m_mutex);
     m_lastQueryAt = now;
-    if (!m_confirmedAt || from < m_begin || from > m_end) {
+    if (!m_confirmedAt) {
         return std::nullopt;
     }
     TableAnswer answer;
+    if (from.era() < m_end.era()) {
+        answer.run = {{}, StoreOffset(0, m_end.era()), true, std::nullopt};
+        return answer;
+    }
+    if (from < m_begin || from > m_end) {
+        return std::nullopt;
+    }
     const auto first =
         std::find_if(m_records.begin(), m_records.end(), [&](const auto &record) { return record.offset >= from; });
     answer.run.records.assign(first, m_records.end());
--- a/src/follow/table_relay.h
+++ b/src/follow/table_relay.h
@@ -12,7 +12,7 @@
 
 /// Records that a daemon which reads a table from the store sends to another daemon.
 struct TableAnswer {
-    KeyedRun run;
+    KeyedRun run; ///< If dropped, it only states a later era than that asked for.
     Duration age{}; ///< The run includes everything that was in the table this long ago.
     /// Offset up to which that daemon has read the operators' documents. A receiver that is behind it in two
     /// consecutive answers restarts its own read of documents, which must have been lost.
@@ -40,7 +40,8 @@
     void add(StoreOffset from, const KeyedRun &run, TimePoint sentAt);
     /// This daemon has read the operators' documents up to \a next.
     void setDocumentOffset(StoreOffset next);
-    /// The records from \a from on; absent if \a from is outside the covered range.
+    /// The records from \a from on; absent if \a from is outside the covered range. Dropped, if this daemon has
+    /// read records of a later era.
     [[nodiscard]] std::optional<TableAnswer> answer(StoreOffset from, TimePoint now);
     /// Whether another daemon has sent a query within queryTimeout.
     [[nodiscard]] bool hasRecentQueries(TimePoint now) const;
--- a/src/follow/table_relay_test.cc
+++ b/src/follow/table_relay_test.cc
@@ -38,6 +38,22 @@
     cr_assert(answer->run.next == StoreOffset(10) && answer->age == 200ms);
 }
 
+// The relay's records of a later era are of another log, though they have the offsets that were asked for.
+Test(table_relay, tells_a_reader_of_an_earlier_era_that_there_is_a_later_one)
+{
+    const StoreEra era(2);
+    TableRelay relay;
+    relay.add(StoreOffset(5), runOf({record("a", 5)}, 8), kStart);
+    KeyedRun run;
+    run.next = StoreOffset(6, era);
+    relay.add(StoreOffset(3, era), run, kStart);
+    const auto answer = relay.answer(StoreOffset(5), kStart);
+    cr_assert(answer && answer->run.dropped && answer->run.records.empty());
+    cr_assert(answer->run.next.era() == era);
+    cr_assert(relay.answer(StoreOffset(5, era), kStart)->run.next == StoreOffset(6, era));
+    cr_assert(!relay.answer(StoreOffset(5, era.next()), kStart)); // The querying daemon knows a later era.
+}
+
 Test(table_relay, starts_a_new_range_after_a_read_from_another_offset)
 {
     TableRelay relay;
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -390,7 +390,7 @@
 {
     m_store->setDocumentOffset(m_operators.next());
     if (m_store->documentsMissing(m_operators.next())) {
-        logEvent(LogLevel::Warning, "documents-missing").with("next", m_operators.next());
+        logEvent(LogLevel::Warning, "documents-missing").with("next", m_operators.next().value());
         m_operators.restartRead();
     }
 }
--- a/src/gateway/quarantine_store_loop.cc
+++ b/src/gateway/quarantine_store_loop.cc
@@ -180,7 +180,7 @@
         .with("service", quarantine.content.service)
         .with("part", std::string_view(quarantine.content.id))
         .with("trial", quarantine.trials)
-        .with("at", end)
+        .with("at", end.value())
         .with("result", appendResultName(result));
     onResult(result == AppendResult::Appended);
 }
--- a/src/gateway/relayed_store.cc
+++ b/src/gateway/relayed_store.cc
@@ -44,6 +44,12 @@
 {
     auto page = co_await m_store->newest(table, std::move(afterKey));
     if (table == StoreTable::Endpoints && page.ok()) {
+        noteEra(page->end.era());
+    }
+    // Of a copy: whoever follows this daemon may miss an endpoint that the copy lacks, so its first entry in the new
+    // era is handed on.
+    const bool mayBeCopied = page.ok() && page->end.era() > StoreEra();
+    if (table == StoreTable::Endpoints && page.ok() && !mayBeCopied) {
         for (const auto &record : page->records) {
             note(record);
         }
@@ -62,7 +68,11 @@
     if (table != StoreTable::Endpoints) {
         co_return co_await m_store->read(table, from, wait);
     }
-    if (auto answer = co_await askOther(table, from); answer && answer->age <= m_options.longestAge) {
+    auto answer = co_await askOther(table, from);
+    if (answer && answer->run.next.era() > from.era()) {
+        co_return KeyedRun{{}, StoreOffset(0, answer->run.next.era()), true, std::nullopt};
+    }
+    if (answer && answer->age <= m_options.longestAge && answer->run.next.era() == from.era()) {
         for (const auto &record : answer->run.records) {
             note(record);
         }
@@ -72,6 +82,9 @@
     }
     const auto sentAt = m_clock.now();
     auto run = co_await m_store->read(table, from, wait);
+    if (run.ok()) {
+        noteEra(run->next.era());
+    }
     if (run.ok() && !run->dropped) {
         KeyedRun news{{}, run->next, false, std::nullopt};
         for (const auto &record : run->records) {
@@ -97,6 +110,14 @@
     return missing;
 }
 
+void RelayedStore::noteEra(StoreEra era)
+{
+    if (era > m_era) {
+        m_era = era;
+        m_known.clear();
+    }
+}
+
 bool RelayedStore::note(const KeyedRecord &record)
 {
     auto endpoint = record.value ? m_documents.endpoint(record.key, *record.value) : absl::NotFoundError("");
--- a/src/gateway/relayed_store.h
+++ b/src/gateway/relayed_store.h
@@ -45,6 +45,8 @@
     [[nodiscard]] bool documentsMissing(StoreOffset next);
 
 private:
+    /// Forgets the entries of an earlier era: in a new one, each that is written again is news.
+    void noteEra(StoreEra era);
     http::Awaitable<std::optional<TableAnswer>> askOther(StoreTable table, StoreOffset from);
     /// Remembers what \a record says; false if that is no news.
     bool note(const KeyedRecord &record);
@@ -58,6 +60,7 @@
     RelayedStoreOptions m_options;
     std::optional<StoreOffset> m_documentsHeard; ///< Of the last answer.
     std::optional<StoreOffset> m_documentsBefore; ///< Of the one before.
+    StoreEra m_era; ///< Of the endpoints' table.
     std::map<std::string, ListedEndpoint> m_known; ///< By key, but for the number of the entry.
 };
 
--- a/src/gateway/relayed_store_test.cc
+++ b/src/gateway/relayed_store_test.cc
@@ -59,7 +59,7 @@
     }
     http::Awaitable<absl::StatusOr<KeyedPage>> newest(StoreTable /*table*/, std::string /*afterKey*/) override
     {
-        co_return KeyedPage();
+        co_return page;
     }
     http::Awaitable<KeyedReadResult> read(StoreTable /*table*/, StoreOffset from, Duration /*wait*/) override
     {
@@ -76,6 +76,7 @@
         co_return AppendResult::Refused;
     }
     int &m_reads;
+    KeyedPage page;
 };
 
 struct FixedAsker : TableQueryClient {
@@ -142,6 +143,43 @@
     cr_assert(run.next == StoreOffset(7) && !run.nextReadDelay);
 }
 
+namespace
+{
+
+http::Awaitable<void> readInNewEra(RelayedStore &store, StoreOffset from)
+{
+    static_cast<void>(co_await store.newest(StoreTable::Endpoints, ""));
+    static_cast<void>(co_await store.read(StoreTable::Endpoints, from, 0ms));
+}
+
+} // namespace
+
+// The copy has the endpoint, but a daemon that follows this one may have seen it lapse.
+Test(relayed_store, the_first_entry_of_an_endpoint_in_a_new_era_is_handed_on)
+{
+    const StoreEra era(1);
+    Fixture it;
+    auto store = std::make_unique<FixedStore>(it.storeReads);
+    store->page = {{{"e", "v1 0", StoreOffset(0, era)}}, false, StoreOffset(1, era), "e"};
+    RelayedStore relayed(it.io, it.clock, std::move(store), it.documents, it.asker, it.relay, {300ms, 250ms, 20ms});
+    http::spawn(it.io, readInNewEra(relayed, StoreOffset(1, era)));
+    it.io.run();
+    const auto answer = it.relay.answer(StoreOffset(1, era), it.clock.now());
+    cr_assert(answer && answer->run.records.size() == 2);
+    cr_assert(answer->run.records[0].value == "v1 1");
+}
+
+// Records of another era are of another log, even at the offset that was asked for.
+Test(relayed_store, another_daemon_that_is_in_a_later_era_ends_this_one)
+{
+    Fixture it;
+    it.asker.answer = answerOf(900ms);
+    it.asker.answer->run.next = StoreOffset(5, StoreEra(1));
+    const auto run = it.read(4);
+    cr_assert_eq(it.storeReads, 0);
+    cr_assert(run.dropped && run.records.empty() && run.next == StoreOffset(0, StoreEra(1)));
+}
+
 Test(relayed_store, a_daemon_that_does_not_answer_delays_a_read_but_little)
 {
     Fixture it;
--- a/src/gateway/rollout_status_loop.cc
+++ b/src/gateway/rollout_status_loop.cc
@@ -106,7 +106,7 @@
         .with("service", report.service)
         .with("target", report.target)
         .with("status", m_documents.statusDocument(report))
-        .with("at", end)
+        .with("at", end.value())
         .with("result", appendResultName(result));
     const auto until = m_clock.now() + kWritePause;
     while (!m_stopped && m_clock.now() < until) { // A wish may wake the timer early.
--- a/src/peer/stage_codec.cc
+++ b/src/peer/stage_codec.cc
@@ -115,7 +115,7 @@
     out.setOffset(record.offset.value());
 }
 
-KeyedRecord readRecord(wire::TableRecord::Reader in)
+KeyedRecord readRecord(wire::TableRecord::Reader in, StoreEra era)
 {
     const auto text = [](capnp::Data::Reader data) { return std::string(data.asChars().begin(), data.size()); };
     KeyedRecord record;
@@ -123,7 +123,7 @@
     if (!in.getGone()) {
         record.value = text(in.getValue());
     }
-    record.offset = StoreOffset(in.getOffset());
+    record.offset = StoreOffset(in.getOffset(), era);
     return record;
 }
 
@@ -132,7 +132,9 @@
     out.setKnown(true);
     out.setAgeUs(toMicroseconds(answer.age));
     out.setNext(answer.run.next.value());
+    out.setEra(answer.run.next.era().value());
     out.setDocuments(answer.documents.value());
+    out.setDocumentsEra(answer.documents.era().value());
     auto records = out.initRecords(static_cast<unsigned>(answer.run.records.size()));
     for (unsigned i = 0; i < answer.run.records.size(); ++i) {
         writeRecord(answer.run.records[i], records[i]);
@@ -146,10 +148,11 @@
     }
     TableAnswer answer;
     answer.age = std::max(Duration::zero(), fromMicroseconds(in.getAgeUs()));
-    answer.run.next = StoreOffset(in.getNext());
-    answer.documents = StoreOffset(in.getDocuments());
+    const StoreEra era(in.getEra());
+    answer.run.next = StoreOffset(in.getNext(), era);
+    answer.documents = StoreOffset(in.getDocuments(), StoreEra(in.getDocumentsEra()));
     for (const auto record : in.getRecords()) {
-        answer.run.records.push_back(readRecord(record));
+        answer.run.records.push_back(readRecord(record, era));
     }
     return answer;
 }
--- a/src/peer/stage_service.cc
+++ b/src/peer/stage_service.cc
@@ -88,7 +88,7 @@
     {
         const auto params = context.getParams();
         const auto table = static_cast<StoreTable>(params.getTable());
-        const StoreOffset from(params.getFrom());
+        const StoreOffset from(params.getFrom(), StoreEra(params.getEra()));
         return runOnExecutor<std::optional<TableAnswer>>(
                    m_executor, m_running, [this, table, from]() { return m_handler.readTable(table, from); })
             .then([context](const std::optional<TableAnswer> &answer) mutable {
@@ -222,6 +222,7 @@
             auto call = protocol.readTableRequest();
             call.setTable(static_cast<std::uint8_t>(table));
             call.setFrom(from.value());
+            call.setEra(from.era().value());
             return call.send().then([](auto response) { return readAnswer(response); });
         };
         m_thread.call<std::optional<TableAnswer>>(peer, send, std::move(done));
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -378,7 +378,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ebe8197f995468de, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ebe8197f995468de, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -393,7 +393,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aedfd41b2d97d486, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(aedfd41b2d97d486, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2525,6 +2525,8 @@
 
   inline  ::uint64_t getFrom() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2559,6 +2561,9 @@
   inline  ::uint64_t getFrom();
   inline void setFrom( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2613,6 +2618,10 @@
 
   inline  ::uint64_t getDocuments() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getDocumentsEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2660,6 +2669,12 @@
   inline  ::uint64_t getDocuments();
   inline void setDocuments( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getDocumentsEra();
+  inline void setDocumentsEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5074,6 +5089,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StageProtocol::ReadTableParams::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableParams::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableParams::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StageProtocol::ReadTableResults::Reader::getKnown() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5164,6 +5193,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StageProtocol::ReadTableResults::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableResults::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableResults::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableResults::Reader::getDocumentsEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReadTableResults::Builder::getDocumentsEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReadTableResults::Builder::setDocumentsEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StageProtocol::ReportSplitParams::Reader::hasReport() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
