Keep what is in force when the store comes back from a copy, and write it again

Zones were used again or stayed out for good, entries of daemons and statuses of rollouts were missing until something else wrote them, and an order that an operator wrote again would have begun anew.

Whichever table meets a new era tells the others. Lost documents of operators stay in force, endpoints that the copy lacks get the grace period, a daemon writes its own entry again, and lost quarantines and statuses are written by those that know them. An order with the content in force keeps its progress under its new record.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -99,7 +99,11 @@
       m_quarantineTimer(m_io),
       m_unreadable(metrics),
       m_storeFailures(metrics.counter("mimosahub_store_calls_failed_total", "Calls of the store that failed.")),
-      m_version(metrics.gauge("mimosahub_configuration_version", "The configuration in force."))
+      m_version(metrics.gauge("mimosahub_configuration_version", "The configuration in force.")),
+      m_eraGauge(metrics.gauge("mimosahub_store_era", "How often the store has come back from a copy, as it states.")),
+      m_rereads(metrics.counter("mimosahub_store_rereads_total", "Tables that were read again in a new era.")),
+      m_lostKeys(metrics.counter("mimosahub_store_lost_keys_total",
+                                 "Keys in force whose newest record the store has lost by coming back from a copy."))
 {
 }
 
@@ -154,6 +158,9 @@
     if (table == StoreTable::Quarantines) {
         m_quarantines.takeChanges(changes, complete);
     }
+    if (complete && m_rereading.erase(table) > 0) {
+        recordReread(table);
+    }
     m_endpointsRead = m_endpointsRead || (table == StoreTable::Endpoints && complete);
     publish();
 }
@@ -165,7 +172,9 @@
         takeDocument(change);
         break;
     case StoreTable::Endpoints:
-        takeEndpoint(change);
+        if (!change.lost || change.lapsed) { // With an earlier entry in the copy, the known one stays.
+            takeEndpoint(change);
+        }
         break;
     case StoreTable::Daemons:
         takeDaemon(change);
@@ -178,6 +187,9 @@
 
 void GatewayControl::takeDocument(const KeyedChange &change)
 {
+    if (change.lost) {
+        return; // It stays in force until the operators' documents say otherwise.
+    }
     const auto name = m_documents.documentName(change.key);
     if (name.kind == DocumentName::Kind::Evacuation) {
         if (change.value) {
@@ -222,7 +234,7 @@
         m_unreadable.add(StoreTable::OperatorDocuments, change.key, order.status());
         return;
     }
-    m_rollouts.takeOrder(*order, RolloutRecord(change.offset.value()));
+    m_rollouts.takeOrder(*order, RolloutRecord(change.offset.value()), change.rewritten);
 }
 
 void GatewayControl::takeEndpoint(const KeyedChange &change)
@@ -260,6 +272,13 @@
 void GatewayControl::takeDaemon(const KeyedChange &change)
 {
     const InstanceId id(change.key);
+    if (change.lost) { // Each daemon writes its own again; until then the known ones stay.
+        if (id == m_self.id) {
+            m_selfLost = true;
+            m_announceTimer.cancel();
+        }
+        return;
+    }
     const auto entry = change.value ? readDaemonEntry(change.key, *change.value) : absl::NotFoundError("");
     if (change.value && !entry.ok()) {
         m_unreadable.add(StoreTable::Daemons, change.key, entry.status());
@@ -282,7 +301,7 @@
     int failures = 0;
     while (!m_withdrawn) {
         const auto it = m_listedDaemons.find(m_self.id);
-        if (it != m_listedDaemons.end() && it->second == m_self) {
+        if (it != m_listedDaemons.end() && it->second == m_self && !m_selfLost) {
             m_announceTimer.expires_after(std::chrono::hours(1));
             co_await m_announceTimer.async_wait(http::kTuple);
             continue;
@@ -290,6 +309,10 @@
         const auto result =
             co_await m_store->append(StoreTable::Daemons, m_self.id.str(), writeDaemonEntry(m_self), std::nullopt);
         failures = result == AppendResult::Appended ? 0 : failures + 1;
+        if (m_selfLost) {
+            logEvent(LogLevel::Info, "daemon-entry-restored").with("result", appendResultName(result));
+            m_selfLost = result != AppendResult::Appended;
+        }
         // What was appended is met again by the follower.
         const auto pause = failures == 0 ? kAnnouncePause : backoffDelay(kAnnounceBackoff, failures, m_random);
         m_announceTimer.expires_after(pause);
@@ -390,7 +413,9 @@
 {
     m_store->setDocumentOffset(m_operators.next());
     if (m_store->documentsMissing(m_operators.next())) {
-        logEvent(LogLevel::Warning, "documents-missing").with("next", m_operators.next().value());
+        logEvent(LogLevel::Warning, "documents-missing")
+            .with("next", m_operators.next().value())
+            .with("era", m_operators.next().era());
         m_operators.restartRead();
     }
 }
@@ -401,8 +426,8 @@
     if (m_storeLost) {
         m_storeLost = false;
         m_directory.storeReturned(m_clock.now());
-        for (auto *follower : {&m_operators, &m_endpoints, &m_daemons, &m_quarantines.follower()}) {
-            if (follower->table() != table) {
+        for (auto *follower : followers()) {
+            if (follower->table() != table && follower->table() != StoreTable::Status) {
                 follower->restartRead();
             }
         }
@@ -413,6 +438,45 @@
     }
 }
 
+std::vector<KeyedFollower *> GatewayControl::followers()
+{
+    return {&m_operators, &m_endpoints, &m_daemons, &m_quarantines.follower(), &m_rollouts.follower()};
+}
+
+// Entries that lapsed because the copy lacks them get the same grace period as after an outage.
+void GatewayControl::eraEntered(StoreTable table, StoreEra era)
+{
+    m_rereading.insert(table);
+    if (era <= m_era) {
+        return;
+    }
+    logEvent(LogLevel::Warning, "store-era")
+        .with("era", era)
+        .with("before", m_era)
+        .with("table", storeTableName(table));
+    m_era = era;
+    m_eraGauge.set(static_cast<double>(era.value()));
+    m_directory.storeReturned(m_clock.now());
+    for (auto *follower : followers()) {
+        follower->learnEra(era);
+    }
+}
+
+void GatewayControl::recordReread(StoreTable table)
+{
+    const auto all = followers();
+    const auto it = std::find_if(all.begin(), all.end(), [&](const auto *it) { return it->table() == table; });
+    const auto &summary = (*it)->eraSummary();
+    m_rereads.add();
+    m_lostKeys.add(summary.lost);
+    logEvent(LogLevel::Info, "store-table-reread")
+        .with("table", storeTableName(table))
+        .with("era", m_era)
+        .with("confirmed", summary.confirmed)
+        .with("outdated", summary.outdated)
+        .with("lost", summary.lost);
+}
+
 void GatewayControl::storeFailed(StoreTable table, const absl::Status &status)
 {
     m_storeFailures.add();
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <thread>
 
 namespace mimosahub
@@ -68,6 +69,7 @@
     void tableChanged(StoreTable table, std::vector<KeyedChange> changes, bool complete) override;
     void storeReached(StoreTable table) override;
     void storeFailed(StoreTable table, const absl::Status &status) override;
+    void eraEntered(StoreTable table, StoreEra era) override;
 
     void takeDocument(const KeyedChange &change);
     void takeRollout(const KeyedChange &change);
@@ -75,6 +77,9 @@
     void takeDaemon(const KeyedChange &change);
     http::Awaitable<void> announceLoop();
     http::Awaitable<void> withdraw();
+    [[nodiscard]] std::vector<KeyedFollower *> followers();
+    // All keys of a table were read in a new era.
+    void recordReread(StoreTable table);
     void publish();
     void checkCaughtUp();
     void armExpiry();
@@ -101,6 +106,9 @@
     DaemonEntry m_self;
     std::map<InstanceId, DaemonEntry> m_listedDaemons;
     bool m_withdrawn = false;
+    bool m_selfLost = false; ///< The store came back from a copy that lacks this daemon's entry.
+    StoreEra m_era; ///< Of the store.
+    std::set<StoreTable> m_rereading; ///< Tables whose keys have not all been read in this era.
     boost::asio::steady_timer m_announceTimer;
     bool m_endpointsRead = false;
     bool m_storeLost = false;
@@ -112,6 +120,9 @@
     UnreadableDocuments m_unreadable;
     Counter &m_storeFailures;
     Gauge &m_version;
+    Gauge &m_eraGauge;
+    Counter &m_rereads;
+    Counter &m_lostKeys;
     std::thread m_thread;
 };
 
--- a/src/gateway/gateway_view.h
+++ b/src/gateway/gateway_view.h
@@ -18,6 +18,8 @@
         RolloutId id;
         Duration duration{}; ///< From the order to the time by which it must be settled.
         std::optional<RolloutStage> status; ///< Of this order, as the store holds it.
+        /// An order known by an earlier record, written again after the store came back from a copy.
+        bool rewritten = false;
     };
 
     std::shared_ptr<const GatewayConfiguration> configuration; ///< Null until one was read.
--- a/src/gateway/quarantine_store_loop.cc
+++ b/src/gateway/quarantine_store_loop.cc
@@ -75,6 +75,10 @@
 {
     std::vector<Quarantine> stored;
     for (const auto &change : changes) {
+        if (change.lost) {
+            restore(change.key);
+            continue;
+        }
         if (!change.value) {
             std::erase_if(m_stored, [&](const auto &entry) { return quarantineKey(entry.first) == change.key; });
             continue;
@@ -93,6 +97,21 @@
     }
 }
 
+void QuarantineStoreLoop::restore(const std::string &key)
+{
+    const auto it = std::find_if(m_stored.begin(), m_stored.end(),
+                                 [&](const auto &entry) { return quarantineKey(entry.first) == key; });
+    if (it == m_stored.end()) {
+        return;
+    }
+    const auto lost = it->second;
+    m_stored.erase(it);
+    logEvent(LogLevel::Info, "quarantine-lost")
+        .with("service", lost.content.service)
+        .with("part", std::string_view(lost.content.id));
+    want(lost, false);
+}
+
 void QuarantineStoreLoop::want(const Quarantine &quarantine, bool own)
 {
     const auto it = m_wanted.find(quarantine.content);
--- a/src/gateway/quarantine_store_loop.h
+++ b/src/gateway/quarantine_store_loop.h
@@ -53,6 +53,8 @@
         TimePoint writeAt;
     };
 
+    /// The store came back from a copy that lacks the quarantine with \a key: it is written again.
+    void restore(const std::string &key);
     [[nodiscard]] bool isStored(const Quarantine &quarantine) const;
     [[nodiscard]] std::optional<ContentId> outdated() const;
     http::Awaitable<void> loop();
--- a/src/gateway/quarantine_store_loop_test.cc
+++ b/src/gateway/quarantine_store_loop_test.cc
@@ -86,6 +86,13 @@
         loop.start();
         io.run_for(200ms);
     }
+    /// Until a write that is due after two seconds.
+    void runAgain()
+    {
+        for (int i = 0; i < 40 && store.appends.empty(); ++i) {
+            io.run_for(100ms);
+        }
+    }
 
     boost::asio::io_context io{1};
     ManualClock clock{TimePoint(100h)};
@@ -131,3 +138,24 @@
     it.run();
     cr_expect(it.store.appends.empty());
 }
+
+// The store came back from a copy without it; daemons that start later read it only there.
+Test(quarantine_store_loop, what_the_store_has_lost_is_written_again)
+{
+    Fixture it;
+    it.stored("dead", /*ended=*/false, 1min);
+    KeyedChange lost;
+    lost.key = quarantineKey({ServiceId("engine"), "dead"});
+    lost.lapsed = true;
+    lost.lost = true;
+    it.loop.takeChanges({lost}, true);
+    it.run();
+    cr_expect(it.store.appends.empty(), "daemons take turns");
+    it.clock.advance(3s);
+    it.loop.setRank(0);
+    it.loop.takeChanges({}, false);
+    it.runAgain();
+    cr_assert_eq(it.store.appends.size(), 1);
+    cr_expect_eq(it.store.appends.front().key, lost.key);
+    cr_expect(it.store.appends.front().value.has_value());
+}
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -99,6 +99,14 @@
     }
     const auto now = m_clock.now();
     auto &active = m_active[order.id.service];
+    if (active && order.rewritten && active->rollout != order.id && active->rollout.target == order.id.target) {
+        logEvent(LogLevel::Info, "rollout-order-rewritten")
+            .with("service", order.id.service)
+            .with("target", order.id.target)
+            .with("order", order.id.record)
+            .with("order_before", active->rollout.record);
+        active->rollout = order.id;
+    }
     if (!active || active->rollout != order.id) {
         active = std::make_unique<Active>(order, *m_limit, now);
         active->newsAt = now - kNewsAge;
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -29,7 +29,8 @@
     {
         onAnswer(std::nullopt);
     }
-    void show(const std::vector<VersionId> &versions, std::optional<RolloutStage> status)
+    void show(const std::vector<VersionId> &versions, std::optional<RolloutStage> status,
+              const RolloutId &rollout = kRollout, bool rewritten = false)
     {
         GatewayView view;
         for (const auto &version : versions) {
@@ -39,7 +40,7 @@
             endpoint.info.version = version;
             view.endpoints.push_back(endpoint);
         }
-        view.rollouts = {{kRollout, 15s, status}};
+        view.rollouts = {{rollout, 15s, status, rewritten}};
         director.setView(view);
     }
 
@@ -98,3 +99,17 @@
     report.rollout = kRollout;
     cr_assert(daemon.director.takeReport(report)->phase == SplitPhase::RolledBack);
 }
+
+// The store came back from a copy and the operator wrote the order again: a version that was rolled
+// back must not be tried a second time.
+Test(rollout_director, an_order_that_is_written_again_keeps_its_progress)
+{
+    const RolloutId rewritten{kService, kTarget, RolloutRecord(3)};
+    Daemon daemon;
+    daemon.show({kOld, kTarget}, RolloutStage::RolledBack);
+    daemon.show({kOld, kTarget}, std::nullopt, rewritten, true);
+    const auto filter = daemon.director.drawVersion(kService, RouteId("r"));
+    cr_assert(filter && !filter->admits(kTarget) && !daemon.director.mayUseOther(kService, *filter));
+    const SplitReport report{rewritten, InstanceId("d2"), 1, 1s, SplitPhase::Trial, "", {}};
+    cr_assert(daemon.director.takeReport(report)->phase == SplitPhase::RolledBack);
+}
--- a/src/gateway/rollout_status_loop.cc
+++ b/src/gateway/rollout_status_loop.cc
@@ -36,9 +36,9 @@
 {
 }
 
-void RolloutStatusLoop::takeOrder(const RolloutOrder &order, RolloutRecord record)
+void RolloutStatusLoop::takeOrder(const RolloutOrder &order, RolloutRecord record, bool rewritten)
 {
-    m_statuses.takeOrder(order, record);
+    m_statuses.takeOrder(order, record, rewritten);
     if (!m_started) {
         m_started = true;
         m_follower.start();
@@ -50,6 +50,9 @@
 {
     for (const auto &change : changes) {
         if (!change.value) {
+            if (change.lost) {
+                forgetStatus(change.key);
+            }
             continue;
         }
         const auto report = m_documents.status(change.key, *change.value);
@@ -64,6 +67,16 @@
     }
 }
 
+void RolloutStatusLoop::forgetStatus(const std::string &key)
+{
+    for (const auto &service : m_statuses.reported()) {
+        if (m_documents.statusKey(service) == key) {
+            logEvent(LogLevel::Info, "rollout-status-lost").with("service", service);
+            m_statuses.forgetStatus(service);
+        }
+    }
+}
+
 void RolloutStatusLoop::want(const WantedStatus &wanted)
 {
     m_statuses.want(wanted, m_clock.now());
--- a/src/gateway/rollout_status_loop.h
+++ b/src/gateway/rollout_status_loop.h
@@ -19,7 +19,8 @@
     RolloutStatusLoop(boost::asio::io_context &io, const Clock &clock, KeyedStore &store,
                       const DocumentReader &documents, KeyedFollower::Listener &listener, Random &random);
 
-    void takeOrder(const RolloutOrder &order, RolloutRecord record);
+    /// As RolloutStatuses::takeOrder().
+    void takeOrder(const RolloutOrder &order, RolloutRecord record, bool rewritten = false);
     /// Takes changes of the table of statuses. \a complete: all of them were read.
     void takeChanges(const std::vector<KeyedChange> &changes, bool complete);
     void want(const WantedStatus &wanted);
@@ -31,11 +32,16 @@
     {
         return m_statuses.list();
     }
+    [[nodiscard]] KeyedFollower &follower()
+    {
+        return m_follower;
+    }
     /// The store answers again after it was lost.
     void storeRegained();
     void stop();
 
 private:
+    void forgetStatus(const std::string &key);
     http::Awaitable<void> loop();
     http::Awaitable<void> write(RolloutReport report);
 
--- a/src/gateway/rollout_statuses.cc
+++ b/src/gateway/rollout_statuses.cc
@@ -20,15 +20,27 @@
 
 } // namespace
 
-void RolloutStatuses::takeOrder(const RolloutOrder &order, RolloutRecord record)
+void RolloutStatuses::takeOrder(const RolloutOrder &order, RolloutRecord record, bool rewritten)
 {
     const RolloutId id{order.service, order.target, record};
     auto &service = m_services[order.service];
-    if (service.order != id) {
+    if (rewritten && service.order.target == order.target) {
+        service.rewritten = true;
+        service.order = id;
+    } else if (service.order != id) {
         service = {id, order.duration, std::nullopt};
     }
 }
 
+std::vector<ServiceId> RolloutStatuses::reported() const
+{
+    std::vector<ServiceId> services;
+    for (const auto &[service, report] : m_reports) {
+        services.push_back(service);
+    }
+    return services;
+}
+
 void RolloutStatuses::takeStatus(const RolloutReport &report)
 {
     m_reports[report.service] = report;
@@ -85,7 +97,7 @@
 {
     std::vector<GatewayView::Rollout> rollouts;
     for (const auto &[id, service] : m_services) {
-        rollouts.push_back({service.order, service.duration, statusOf(service.order)});
+        rollouts.push_back({service.order, service.duration, statusOf(service.order), service.rewritten});
     }
     return rollouts;
 }
--- a/src/gateway/rollout_statuses.h
+++ b/src/gateway/rollout_statuses.h
@@ -21,10 +21,18 @@
     {
         m_rank = rank;
     }
-    /// An order was read, the \a record of the operators' documents.
-    void takeOrder(const RolloutOrder &order, RolloutRecord record);
+    /// An order was read, the \a record of the operators' documents. \a rewritten: it is the order known so far,
+    /// which the operator wrote again after the store came back from a copy.
+    void takeOrder(const RolloutOrder &order, RolloutRecord record, bool rewritten = false);
     /// A status was read.
     void takeStatus(const RolloutReport &report);
+    /// The store has lost the status of \a service, which is written again while it is wanted.
+    void forgetStatus(const ServiceId &service)
+    {
+        m_reports.erase(service);
+    }
+    /// The services whose status was read.
+    [[nodiscard]] std::vector<ServiceId> reported() const;
     /// All statuses in the store were read.
     void setComplete()
     {
@@ -52,6 +60,7 @@
         RolloutId order;
         Duration duration{};
         std::optional<Wanted> wanted;
+        bool rewritten = false;
     };
 
     [[nodiscard]] std::optional<RolloutStage> statusOf(const RolloutId &order) const;
--- a/src/gateway/rollout_statuses_test.cc
+++ b/src/gateway/rollout_statuses_test.cc
@@ -79,3 +79,26 @@
     statuses.want({kId, RolloutStage::RolledBack, false}, now);
     cr_assert(statuses.nextWrite(now)->stage == RolloutStage::RolledBack);
 }
+
+// After the store came back from a copy, the order got another offset and would have begun anew.
+Test(rollout_statuses, an_order_that_is_written_again_is_the_same_order)
+{
+    auto statuses = ordered();
+    statuses.takeStatus({kService, kTarget, RolloutStage::RolledBack, RolloutRecord(5)});
+    statuses.takeOrder(kOrder, RolloutRecord(3), true);
+    const auto rollout = statuses.list().at(0);
+    cr_assert(rollout.rewritten && rollout.id.record == RolloutRecord(3));
+    // The status names the earlier record, which daemons that start later don't know.
+    statuses.want({{kService, kTarget, RolloutRecord(3)}, RolloutStage::RolledBack, true}, kNow);
+    cr_assert(statuses.nextWrite(kNow)->order == RolloutRecord(3));
+}
+
+Test(rollout_statuses, a_status_that_the_store_has_lost_is_written_again)
+{
+    auto statuses = ordered();
+    statuses.takeStatus({kService, kTarget, RolloutStage::Completed, RolloutRecord(5)});
+    statuses.want({kId, RolloutStage::Completed, true}, kNow);
+    cr_assert(!statuses.nextWrite(kNow));
+    statuses.forgetStatus(kService);
+    cr_assert(statuses.nextWrite(kNow)->stage == RolloutStage::Completed);
+}
