Write out the order of store positions

clang-tidy takes the defaulted operator for a null pointer constant. The era tests of KeyedTable were compiled and run alone after it; the rest was not rebuilt.

--- a/src/follow/keyed_store.h
+++ b/src/follow/keyed_store.h
@@ -61,7 +61,10 @@
     }
 
     friend constexpr bool operator==(const StoreOffset &, const StoreOffset &) = default;
-    friend constexpr std::strong_ordering operator<=>(const StoreOffset &, const StoreOffset &) = default;
+    friend constexpr std::strong_ordering operator<=>(const StoreOffset &a, const StoreOffset &b)
+    {
+        return a.m_era == b.m_era ? a.m_value <=> b.m_value : a.m_era <=> b.m_era;
+    }
     friend std::ostream &operator<<(std::ostream &out, const StoreOffset &offset)
     {
         return out << offset.m_era << ':' << offset.m_value;
