--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -7,6 +7,7 @@
 #include "forward/send_policy.h"
 #include "gateway/call_protocol.h"
 #include "gateway/crash_detector.h"
+#include "gateway/duty_reporter.h"
 #include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
 #include "gateway/gateway_view.h"
@@ -59,7 +60,9 @@
     RolloutDirector &rollouts;
     Random &random;
     StopState &stop;
+    http::MemoryAccount &memory;
     ZoneId zone; ///< This daemon's.
+    DutyReporter *usage; ///< Counts requests that run; null if usage is not reported.
 };
 
 /// The life of one request that is forwarded as it is: route, stages, sends, and
@@ -105,7 +108,11 @@
     /// Whether \a report says something of the version of its endpoint: a connection that broke
     /// under content that nobody has seen answered may say more of the content.
     [[nodiscard]] bool speaksOfVersion(const SendReport &report) const;
+    /// Sends \a call, which gets the body of the caller's request for that time.
+    http::Awaitable<absl::Status> sendWithBody(http::ClientConnection &connection, http::Request call);
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
+    /// Reads the rest of a whole answer, of which m_answerMemory keeps account.
+    http::Awaitable<absl::StatusOr<std::string>> readAnswer(EndpointSend &send);
     /// Reads the header of the answer to a send, and passes over answers to other requests. Absent
     /// if none came that is surely this send's; \a report says why.
     http::Awaitable<std::optional<http::Response>> receiveHead(EndpointSend &send, SendReport &report);
@@ -137,6 +144,7 @@
     [[nodiscard]] SendSituation situation() const;
     [[nodiscard]] ForwardOptions options(const EndpointId &endpoint) const;
     void noteFirstByte();
+    void recordUsage();
     void noteStreamCut();
     void logEnd(std::string_view outcome, std::string_view detail);
 
@@ -168,8 +176,10 @@
     EndpointId m_endpoint; ///< Of the last send.
     std::set<Address> m_refusedAt; ///< Where endpoints refused it.
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
+    std::optional<http::MemoryHold> m_answerMemory; ///< Of the last whole answer that was read.
     bool m_sending = false; ///< A send has begun whose end m_sends doesn't know yet.
     bool m_logged = false;
+    bool m_usageCounted = false;
 };
 
 } // namespace mimosahub
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -60,6 +60,11 @@
     RelayedStoreOptions options;
     options.longestAge = settings.leavingBound * 3 / 10;
     options.interval = settings.leavingBound / 4;
+    // A document that the relay's read missed is in force after relayWait, two answers of the relay
+    // and a read: within the bound on configurations, which is no less than that on leaving.
+    options.documents.ownWait = settings.documentWait();
+    options.documents.relayWait = settings.documentWait() / 3;
+    options.documents.confirmedAge = settings.documentWait() / 2;
     return options;
 }
 
@@ -76,7 +81,8 @@
 
 GatewayControl::GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
                                const MakeStore &makeStore, TableQueryClient &asker, TableRelay &endpointTable,
-                               MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks, std::uint64_t seed)
+                               const DutyShared &duties, MetricRegistry &metrics, GatewayViews &views,
+                               Callbacks callbacks, std::uint64_t seed)
     : m_clock(clock),
       m_documents(documents),
       m_views(views),
@@ -92,14 +98,24 @@
       m_rollouts(m_io, clock, *m_store, documents, *this, m_random),
       m_quarantines(m_io, clock, *m_store, *this, m_random,
                     [this](std::vector<Quarantine> stored) { m_callbacks.quarantinesStored(std::move(stored)); }),
+      m_duties(settings.duties && settings.duties->any()
+                   ? std::make_unique<DutyLoop>(m_io, *m_store, m_pool, static_cast<KeyedFollower::Listener &>(*this),
+                                                m_random, settings, duties, metrics)
+                   : nullptr),
       m_directory(settings.store.lapseGrace),
       m_self(entryOf(settings, clock)),
       m_announceTimer(m_io),
       m_expiryTimer(m_io),
       m_quarantineTimer(m_io),
       m_unreadable(metrics),
+      m_lateEntries(metrics.counter("mimosahub_endpoint_entries_late_total",
+                                    "Endpoints' entries that were older than what was known.")),
       m_storeFailures(metrics.counter("mimosahub_store_calls_failed_total", "Calls of the store that failed.")),
-      m_version(metrics.gauge("mimosahub_configuration_version", "The configuration in force."))
+      m_version(metrics.gauge("mimosahub_configuration_version", "The configuration in force.")),
+      m_eraGauge(metrics.gauge("mimosahub_store_era", "How often the store has come back from a copy, as it states.")),
+      m_rereads(metrics.counter("mimosahub_store_rereads_total", "Tables that were read again in a new era.")),
+      m_lostKeys(metrics.counter("mimosahub_store_lost_keys_total",
+                                 "Keys in force whose newest record the store has lost by coming back from a copy."))
 {
 }
 
@@ -110,10 +126,14 @@
 
 void GatewayControl::start()
 {
+    m_pool.startSweeping();
     m_operators.start();
     m_endpoints.start();
     m_daemons.start();
     m_quarantines.start();
+    if (m_duties) {
+        m_duties->start();
+    }
     http::spawn(m_io, announceLoop());
     m_thread = std::thread([this] { http::runEventLoop(m_io, "control"); });
 }
@@ -131,6 +151,9 @@
         m_daemons.stop();
         m_rollouts.stop();
         m_quarantines.stop();
+        if (m_duties) {
+            m_duties->stop();
+        }
         m_io.stop();
     });
     m_thread.join();
@@ -154,6 +177,13 @@
     if (table == StoreTable::Quarantines) {
         m_quarantines.takeChanges(changes, complete);
     }
+    if (complete && m_rereading.erase(table) > 0) {
+        recordReread(table);
+    }
+    if (table == StoreTable::Duties) {
+        m_duties->takeChanges(changes, complete);
+        return;
+    }
     m_endpointsRead = m_endpointsRead || (table == StoreTable::Endpoints && complete);
     publish();
 }
@@ -165,19 +195,25 @@
         takeDocument(change);
         break;
     case StoreTable::Endpoints:
-        takeEndpoint(change);
+        if (!change.lost || change.lapsed) { // With an earlier entry in the copy, the known one stays.
+            takeEndpoint(change);
+        }
         break;
     case StoreTable::Daemons:
         takeDaemon(change);
         break;
     case StoreTable::Status:
     case StoreTable::Quarantines:
+    case StoreTable::Duties:
         break; // Taken as a whole.
     }
 }
 
 void GatewayControl::takeDocument(const KeyedChange &change)
 {
+    if (change.lost) {
+        return; // It stays in force until the operators' documents say otherwise.
+    }
     const auto name = m_documents.documentName(change.key);
     if (name.kind == DocumentName::Kind::Evacuation) {
         if (change.value) {
@@ -222,7 +258,7 @@
         m_unreadable.add(StoreTable::OperatorDocuments, change.key, order.status());
         return;
     }
-    m_rollouts.takeOrder(*order, RolloutRecord(change.offset.value()));
+    m_rollouts.takeOrder(*order, RolloutRecord(change.offset.value()), change.rewritten);
 }
 
 void GatewayControl::takeEndpoint(const KeyedChange &change)
@@ -234,9 +270,19 @@
             logEvent(LogLevel::Info, "endpoint-gone").with("endpoint", id).with("service", known->info.service);
         }
         m_directory.remove(id, m_clock.now());
+        m_newest.remove(id, m_clock.now());
         return;
     }
     auto endpoint = m_documents.endpoint(change.key, *change.value);
+    const auto verdict = endpoint.ok() ? m_newest.take(*endpoint, m_clock.now()) : NewestEntries::Verdict::Newer;
+    if (verdict == NewestEntries::Verdict::Older) {
+        m_lateEntries.add();
+        return;
+    }
+    if (verdict == NewestEntries::Verdict::Startless) {
+        endpoint = errorAt(absl::StatusCode::kInvalidArgument, Step::Parse, "store",
+                           "an endpoint's entry lacks the time of its start, which earlier ones told");
+    }
     if (!endpoint.ok()) {
         m_unreadable.add(StoreTable::Endpoints, change.key, endpoint.status());
         m_directory.remove(id, m_clock.now());
@@ -260,6 +306,13 @@
 void GatewayControl::takeDaemon(const KeyedChange &change)
 {
     const InstanceId id(change.key);
+    if (change.lost) { // Each daemon writes its own again; until then the known ones stay.
+        if (id == m_self.id) {
+            m_selfLost = true;
+            m_announceTimer.cancel();
+        }
+        return;
+    }
     const auto entry = change.value ? readDaemonEntry(change.key, *change.value) : absl::NotFoundError("");
     if (change.value && !entry.ok()) {
         m_unreadable.add(StoreTable::Daemons, change.key, entry.status());
@@ -282,7 +335,7 @@
     int failures = 0;
     while (!m_withdrawn) {
         const auto it = m_listedDaemons.find(m_self.id);
-        if (it != m_listedDaemons.end() && it->second == m_self) {
+        if (it != m_listedDaemons.end() && it->second == m_self && !m_selfLost) {
             m_announceTimer.expires_after(std::chrono::hours(1));
             co_await m_announceTimer.async_wait(http::kTuple);
             continue;
@@ -290,6 +343,10 @@
         const auto result =
             co_await m_store->append(StoreTable::Daemons, m_self.id.str(), writeDaemonEntry(m_self), std::nullopt);
         failures = result == AppendResult::Appended ? 0 : failures + 1;
+        if (m_selfLost) {
+            logEvent(LogLevel::Info, "daemon-entry-restored").with("result", appendResultName(result));
+            m_selfLost = result != AppendResult::Appended;
+        }
         // What was appended is met again by the follower.
         const auto pause = failures == 0 ? kAnnouncePause : backoffDelay(kAnnounceBackoff, failures, m_random);
         m_announceTimer.expires_after(pause);
@@ -344,6 +401,9 @@
         view->daemons.push_back(entry);
     }
     view->rollouts = m_rollouts.list();
+    if (m_duties) {
+        m_duties->setView(*view);
+    }
     m_views.store(std::move(view));
     checkCaughtUp();
     m_callbacks.viewChanged();
@@ -388,24 +448,30 @@
 // has lost its read of documents; that the other one knows more of them shows it.
 void GatewayControl::compareDocuments()
 {
-    m_store->setDocumentOffset(m_operators.next());
+    m_store->setDocumentOffset(m_documentsReached ? m_operators.next() : StoreOffset(0));
     if (m_store->documentsMissing(m_operators.next())) {
-        logEvent(LogLevel::Warning, "documents-missing").with("next", m_operators.next());
+        logEvent(LogLevel::Warning, "documents-missing")
+            .with("next", m_operators.next().value())
+            .with("era", m_operators.next().era());
         m_operators.restartRead();
     }
 }
 
 void GatewayControl::storeReached(StoreTable table)
 {
+    m_documentsReached = m_documentsReached || table == StoreTable::OperatorDocuments;
     compareDocuments();
     if (m_storeLost) {
         m_storeLost = false;
         m_directory.storeReturned(m_clock.now());
-        for (auto *follower : {&m_operators, &m_endpoints, &m_daemons, &m_quarantines.follower()}) {
-            if (follower->table() != table) {
+        for (auto *follower : followers()) {
+            if (follower->table() != table && follower->table() != StoreTable::Status) {
                 follower->restartRead();
             }
         }
+        if (m_duties && table != StoreTable::Duties) {
+            m_duties->storeRegained();
+        }
         if (table != StoreTable::Status) {
             m_rollouts.storeRegained();
         }
@@ -413,9 +479,52 @@
     }
 }
 
+std::vector<KeyedFollower *> GatewayControl::followers()
+{
+    return {&m_operators, &m_endpoints, &m_daemons, &m_quarantines.follower(), &m_rollouts.follower()};
+}
+
+// Entries that lapsed because the copy lacks them get the same grace period as after an outage.
+void GatewayControl::eraEntered(StoreTable table, StoreEra era)
+{
+    m_rereading.insert(table);
+    if (era <= m_era) {
+        return;
+    }
+    logEvent(LogLevel::Warning, "store-era")
+        .with("era", era)
+        .with("before", m_era)
+        .with("table", storeTableName(table));
+    m_era = era;
+    m_eraGauge.set(static_cast<double>(era.value()));
+    m_directory.storeReturned(m_clock.now());
+    for (auto *follower : followers()) {
+        follower->learnEra(era);
+    }
+}
+
+void GatewayControl::recordReread(StoreTable table)
+{
+    const auto all = followers();
+    const auto it = std::find_if(all.begin(), all.end(), [&](const auto *it) { return it->table() == table; });
+    const auto &summary = (*it)->eraSummary();
+    m_rereads.add();
+    m_lostKeys.add(summary.lost);
+    logEvent(LogLevel::Info, "store-table-reread")
+        .with("table", storeTableName(table))
+        .with("era", m_era)
+        .with("confirmed", summary.confirmed)
+        .with("outdated", summary.outdated)
+        .with("lost", summary.lost);
+}
+
 void GatewayControl::storeFailed(StoreTable table, const absl::Status &status)
 {
     m_storeFailures.add();
+    if (table == StoreTable::OperatorDocuments) {
+        m_documentsReached = false;
+        compareDocuments();
+    }
     if (!m_storeLost) {
         m_storeLost = true;
         m_pool.clear(); // What is idle may be as dead as the connection that failed.
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -3,7 +3,9 @@
 #include "base/metrics.h"
 #include "follow/keyed_follower.h"
 #include "forward/endpoint_directory.h"
+#include "forward/newest_entries.h"
 #include "gateway/document_reader.h"
+#include "gateway/duty_loop.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_view.h"
 #include "gateway/quarantine_store_loop.h"
@@ -16,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <thread>
 
 namespace mimosahub
@@ -37,7 +40,8 @@
     /// All arguments must outlive this object.
     GatewayControl(const Clock &clock, const GatewaySettings &settings, const DocumentReader &documents,
                    const MakeStore &makeStore, TableQueryClient &asker, TableRelay &endpointTable,
-                   MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks, std::uint64_t seed);
+                   const DutyShared &duties, MetricRegistry &metrics, GatewayViews &views, Callbacks callbacks,
+                   std::uint64_t seed);
     ~GatewayControl() override;
 
     void start();
@@ -68,6 +72,7 @@
     void tableChanged(StoreTable table, std::vector<KeyedChange> changes, bool complete) override;
     void storeReached(StoreTable table) override;
     void storeFailed(StoreTable table, const absl::Status &status) override;
+    void eraEntered(StoreTable table, StoreEra era) override;
 
     void takeDocument(const KeyedChange &change);
     void takeRollout(const KeyedChange &change);
@@ -75,6 +80,9 @@
     void takeDaemon(const KeyedChange &change);
     http::Awaitable<void> announceLoop();
     http::Awaitable<void> withdraw();
+    [[nodiscard]] std::vector<KeyedFollower *> followers();
+    // All keys of a table were read in a new era.
+    void recordReread(StoreTable table);
     void publish();
     void checkCaughtUp();
     void armExpiry();
@@ -95,14 +103,20 @@
     KeyedFollower m_daemons;
     RolloutStatusLoop m_rollouts;
     QuarantineStoreLoop m_quarantines;
+    std::unique_ptr<DutyLoop> m_duties; ///< Null if there are no duties.
     EndpointDirectory m_directory;
+    NewestEntries m_newest; ///< Of endpoints.
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::map<std::string, ZoneId> m_closedZones; ///< By the key of the order.
     DaemonEntry m_self;
     std::map<InstanceId, DaemonEntry> m_listedDaemons;
     bool m_withdrawn = false;
+    bool m_selfLost = false; ///< The store came back from a copy that lacks this daemon's entry.
+    StoreEra m_era; ///< Of the store.
+    std::set<StoreTable> m_rereading; ///< Tables whose keys have not all been read in this era.
     boost::asio::steady_timer m_announceTimer;
     bool m_endpointsRead = false;
+    bool m_documentsReached = false; ///< The last read of operators' documents succeeded: others may rely on it.
     bool m_storeLost = false;
     boost::asio::steady_timer m_expiryTimer;
     boost::asio::steady_timer m_quarantineTimer;
@@ -110,8 +124,12 @@
     bool m_quarantineWaitOver = false;
     std::atomic<bool> m_caughtUp{false};
     UnreadableDocuments m_unreadable;
+    Counter &m_lateEntries;
     Counter &m_storeFailures;
     Gauge &m_version;
+    Gauge &m_eraGauge;
+    Counter &m_rereads;
+    Counter &m_lostKeys;
     std::thread m_thread;
 };
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -13,6 +13,7 @@
 #include <boost/json.hpp>
 
 #include <iostream>
+#include <malloc.h>
 
 namespace mimosahub
 {
@@ -33,8 +34,9 @@
 {
 public:
     /// All arguments must outlive the servers.
-    SideServers(boost::asio::io_context &io, const Clock &clock, MetricRegistry &metrics, GatewayTraffic &traffic)
-        : m_io(io), m_clock(clock), m_metrics(metrics), m_traffic(traffic)
+    SideServers(boost::asio::io_context &io, const Clock &clock, MetricRegistry &metrics, GatewayTraffic &traffic,
+                const DutyBoard &duties)
+        : m_io(io), m_clock(clock), m_metrics(metrics), m_traffic(traffic), m_duties(duties)
     {
     }
 
@@ -56,6 +58,10 @@
                     http::makeResponse(200, http::kJsonType, m_traffic.quarantines().render(m_clock.now())));
                 co_return;
             }
+            if (path == "/duties") {
+                co_await exchange.answer(http::makeResponse(200, http::kJsonType, m_duties.status()));
+                co_return;
+            }
             if (path == "/quarantines/end") {
                 co_await exchange.answer(endQuarantine(exchange.request()));
                 co_return;
@@ -100,9 +106,19 @@
     const Clock &m_clock;
     MetricRegistry &m_metrics;
     GatewayTraffic &m_traffic;
+    const DutyBoard &m_duties;
     std::vector<std::shared_ptr<http::Server>> m_servers;
 };
 
+/// Makes the heap give large blocks back to the system as soon as they are freed. By default it
+/// raises this threshold up to 32 MiB, and the memory of bodies stays with the process.
+void boundHeap()
+{
+    constexpr int kLargeBlock = 256 * 1024;
+    mallopt(M_MMAP_THRESHOLD, kLargeBlock);
+    mallopt(M_TRIM_THRESHOLD, kLargeBlock);
+}
+
 int fail(const absl::Status &status)
 {
     logEvent(LogLevel::Error, "start-failed").with(status);
@@ -170,6 +186,7 @@
 
 int runGateway(const GatewaySettings &settings, const GatewayAdapter &adapter)
 {
+    boundHeap();
     Signals signals;
     SystemClock clock;
     const auto output = LogOutput::open(std::cout, settings.log.level, settings.log.format, clock);
@@ -178,12 +195,15 @@
     const auto seed =
         hashBytes(settings.instance.id.str(), static_cast<std::uint64_t>(clock.wallTime().time_since_epoch().count()));
     TableRelay endpointTable;
-    auto traffic = GatewayTraffic::create({clock, settings, views, adapter.calls, endpointTable, metrics}, seed);
+    DutyBoard duties;
+    auto traffic =
+        GatewayTraffic::create({clock, settings, views, adapter.calls, duties, endpointTable, metrics}, seed);
     if (!traffic.ok()) {
         return fail(traffic.status());
     }
     GatewayControl control(
-        clock, settings, adapter.documents, adapter.makeStore, **traffic, endpointTable, metrics, views,
+        clock, settings, adapter.documents, adapter.makeStore, **traffic, endpointTable, {adapter.duties, duties},
+        metrics, views,
         {[&] { (*traffic)->viewChanged(); },
          [&](std::vector<Quarantine> stored) { (*traffic)->takeStoredQuarantines(std::move(stored)); }},
         seed + 1);
@@ -194,7 +214,7 @@
              control.claimTrial(quarantine, std::move(onResult));
          }});
     std::atomic<bool> serving{true};
-    SideServers sides(control.io(), clock, metrics, **traffic);
+    SideServers sides(control.io(), clock, metrics, **traffic, duties);
     if (const auto status = sides.listen(settings.listen, [&] { return serving && control.caughtUp(); });
         !status.ok()) {
         return fail(status);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -59,6 +59,16 @@
 struct InstanceLimits {
     int memoryMb = 256; ///< Resident and in the kernel's socket buffers; above it the process is killed.
     int descriptors = 4096; ///< Open files and sockets.
+    std::optional<int> bufferMb; ///< For bodies of requests and answers; absent: a share of memoryMb.
+
+    /// Bytes that bodies of requests and answers may hold together. Half of what an idle process
+    /// leaves: the rest is for tables, connections and the kernel's socket buffers.
+    [[nodiscard]] std::uint64_t bufferBytes() const
+    {
+        constexpr int kIdleMb = 16; // An idle process held 13 MB.
+        const int share = (memoryMb - kIdleMb - memoryMb / 8) / 2;
+        return static_cast<std::uint64_t>(bufferMb.value_or(share)) << 20U;
+    }
 };
 
 /// Duties that one daemon at a time carries out for the deployment by calls to the platform.
@@ -75,6 +85,12 @@
     Duration usageWindow = std::chrono::seconds(5); ///< Window k begins k times this after the start of 1970.
     Duration usageDue = std::chrono::seconds(10); ///< After a window's end.
     double usageTolerance = 0.05; ///< Relative error of a reported count.
+
+    /// Whether there is a duty that this program has.
+    [[nodiscard]] bool any() const
+    {
+        return usageReport || autoscale;
+    }
 };
 
 /// Settings of one daemon that forwards requests on a deployment whose store
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -3,10 +3,13 @@
 
 #include "gateway/gateway_traffic.h"
 
+#include "gateway/descriptor_shares.h"
 #include "http/event_loop.h"
 
 #include <boost/asio/post.hpp>
 
+#include <set>
+
 namespace mimosahub
 {
 
@@ -17,6 +20,13 @@
 /// is believed to be at the moment.
 constexpr double kSafeShare = 0.6;
 
+/// Of the kernel, for bytes of one caller that are not read yet; it keeps twice as many.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+/// The part of the budget of bodies whose size those may have in the kernel that wait for room.
+constexpr std::uint64_t kWaitingShare = 8;
+constexpr std::size_t kLeastWaiting = 16;
+constexpr std::size_t kMostWaiting = 256;
+
 RetryBudgetOptions secondSendOptions(const SecondSendSettings &settings, std::size_t daemons)
 {
     const auto window = std::chrono::duration<double>(settings.window).count();
@@ -36,13 +46,32 @@
     return ExposureLimit{settings.rollouts->exposureShare, settings.rollouts->exposureSlack};
 }
 
-http::ServerOptions serverOptions(const CallerLimits &limits)
+http::ServerOptions serverOptions(const CallerLimits &limits, const DescriptorShares &shares)
 {
     http::ServerOptions options;
+    options.maxConnections = shares.callers;
     options.maxHeaderBytes = limits.headerBytes;
     options.maxBodyBytes = limits.bodyBytes;
     options.headerTimeout = limits.headerTimeout;
     options.idleTimeout = limits.idleTimeout;
+    options.receiveBufferBytes = kReceiveBufferBytes;
+    return options;
+}
+
+http::MemoryOptions memoryOptions(const InstanceLimits &limits)
+{
+    http::MemoryOptions options;
+    options.budget = limits.bufferBytes();
+    // Each body that waits leaves up to twice kReceiveBufferBytes in the kernel.
+    const auto waiting = options.budget / kWaitingShare / (2 * kReceiveBufferBytes);
+    options.maxWaiting = std::clamp<std::size_t>(waiting, kLeastWaiting, kMostWaiting);
+    return options;
+}
+
+http::PoolOptions poolOptions(const DescriptorShares &shares)
+{
+    http::PoolOptions options;
+    options.maxIdleTotal = shares.idleToEndpoints;
     return options;
 }
 
@@ -59,22 +88,32 @@
     }
     self->m_router = std::move(*router);
     self->m_router->setNotices(self->m_notices);
+    if (shared.settings.duties && shared.settings.duties->any()) {
+        self->m_dutyReporter =
+            std::make_unique<DutyReporter>(*self->m_io, shared.settings, shared.duties, *self->m_router,
+                                           [self] { return self->m_selector.inFlightByZone(); });
+        self->m_router->setDuties(*self->m_dutyReporter);
+    }
     self->makeContext();
-    auto server = http::Server::listen(*self->m_io, shared.settings.listen.callers, serverOptions({}),
+    auto server = http::Server::listen(*self->m_io, shared.settings.listen.callers,
+                                       serverOptions({}, DescriptorShares::of(shared.settings.limits.descriptors)),
                                        [self](http::Exchange &exchange) { return self->handle(exchange); });
     if (!server.ok()) {
         return server.status();
     }
+    (*server)->setMemory(self->m_memory);
     traffic->m_server = *server;
     return traffic;
 }
 
 GatewayTraffic::GatewayTraffic(const GatewayShared &shared, std::uint64_t seed)
     : m_shared(shared),
+      m_memoryMetrics(shared.clock, shared.metrics, shared.settings.limits.bufferBytes()),
+      m_memory(shared.clock, memoryOptions(shared.settings.limits)),
       m_io(std::make_unique<boost::asio::io_context>(1)),
       m_work(boost::asio::make_work_guard(*m_io)),
       m_random(seed),
-      m_pool(*m_io, shared.clock, {}),
+      m_pool(*m_io, shared.clock, poolOptions(DescriptorShares::of(shared.settings.limits.descriptors))),
       m_notices(shared.clock, m_random, shared.metrics),
       m_stages(*m_io, shared.clock, shared.protocol, m_pool, m_notices, shared.metrics),
       m_crashes(*m_io, shared.clock, m_pool, shared.metrics),
@@ -84,6 +123,7 @@
       m_rollouts(*m_io, shared.clock, shared.settings.instance.id, seed, exposureLimit(shared.settings), shared.metrics,
                  m_random)
 {
+    m_memory.setObserver(&m_memoryMetrics);
     connectNotices();
 }
 
@@ -97,10 +137,27 @@
 
 void GatewayTraffic::makeContext()
 {
-    m_context = std::make_unique<ForwardContext>(ForwardContext{
-        *m_io, m_shared.clock, m_shared.protocol, m_shared.views, m_pool, *m_router, m_selector, m_notices, m_crashes,
-        m_quarantine, m_secondSends, secondSendOptions(m_secondSendSettings, 1), m_usual, m_metrics, m_affinities,
-        m_rollouts, m_random, m_stop, m_shared.settings.instance.zone});
+    m_context = std::make_unique<ForwardContext>(ForwardContext{*m_io,
+                                                                m_shared.clock,
+                                                                m_shared.protocol,
+                                                                m_shared.views,
+                                                                m_pool,
+                                                                *m_router,
+                                                                m_selector,
+                                                                m_notices,
+                                                                m_crashes,
+                                                                m_quarantine,
+                                                                m_secondSends,
+                                                                secondSendOptions(m_secondSendSettings, 1),
+                                                                m_usual,
+                                                                m_metrics,
+                                                                m_affinities,
+                                                                m_rollouts,
+                                                                m_random,
+                                                                m_stop,
+                                                                m_memory,
+                                                                m_shared.settings.instance.zone,
+                                                                m_dutyReporter.get()});
 }
 
 GatewayTraffic::~GatewayTraffic()
@@ -112,13 +169,18 @@
     m_quarantine.stop();
     m_stages.stop();
     m_router.reset();
-    m_pool.clear();
+    m_dutyReporter.reset(); // Its timer is one of m_io.
+    m_pool.stop();
     m_io.reset();
 }
 
 void GatewayTraffic::start()
 {
     m_server->start();
+    m_pool.startSweeping();
+    if (m_dutyReporter) {
+        m_dutyReporter->start();
+    }
     m_thread = std::thread([this] { http::runEventLoop(*m_io, "traffic"); });
 }
 
@@ -194,10 +256,27 @@
     m_crashes.takeListing(view.endpoints);
     boundSecondSends(daemons);
     m_router->setDaemons(view.daemons);
+    if (m_dutyReporter) {
+        m_dutyReporter->setDaemons(view.daemons);
+    }
     m_rollouts.setView(view);
     setStages(view);
     applyRests();
-    m_server->setLimits(serverOptions(view.configuration->parts().limits));
+    closeUnlisted(view);
+    m_server->setLimits(
+        serverOptions(view.configuration->parts().limits, DescriptorShares::of(m_shared.settings.limits.descriptors)));
+}
+
+// An endpoint that has ended or leaves is called no more.
+void GatewayTraffic::closeUnlisted(const GatewayView &view)
+{
+    std::set<Address> called;
+    for (const auto &endpoint : view.endpoints) {
+        if (!endpoint.info.leaving) {
+            called.insert(endpoint.info.address);
+        }
+    }
+    m_pool.retain(called);
 }
 
 // An endpoint whose entry was missing for a while is new to those that choose.
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -3,6 +3,7 @@
 #include "base/metrics.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/memory_metrics.h"
 #include "gateway/stage_router.h"
 
 #include <absl/status/statusor.h>
@@ -19,6 +20,7 @@
     const GatewaySettings &settings;
     const GatewayViews &views;
     const CallProtocol &protocol;
+    DutyBoard &duties;
     TableRelay &endpointTable; ///< For daemons that ask this one.
     MetricRegistry &metrics;
 };
@@ -75,6 +77,7 @@
     http::Awaitable<void> handle(http::Exchange &exchange);
     void makeContext();
     void takeView();
+    void closeUnlisted(const GatewayView &view);
     void connectNotices();
     /// The view with what its endpoints have said of themselves since.
     [[nodiscard]] GatewayView noticedView();
@@ -85,6 +88,8 @@
     void setStages(const GatewayView &view);
 
     const GatewayShared m_shared;
+    MemoryMetrics m_memoryMetrics;
+    http::MemoryAccount m_memory;
     std::unique_ptr<boost::asio::io_context> m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     Random m_random;
@@ -101,6 +106,7 @@
     ForwardMetrics m_metrics;
     std::map<RouteId, PromptAffinity> m_affinities;
     RolloutDirector m_rollouts;
+    std::unique_ptr<DutyReporter> m_dutyReporter; ///< Null if there are no duties.
     StopState m_stop;
     std::unique_ptr<ForwardContext> m_context;
     std::shared_ptr<http::Server> m_server;
--- a/src/gateway/relayed_store.cc
+++ b/src/gateway/relayed_store.cc
@@ -36,7 +36,8 @@
       m_documents(documents),
       m_asker(asker),
       m_relay(relay),
-      m_options(options)
+      m_options(options),
+      m_documentWatch(options.documents)
 {
 }
 
@@ -44,6 +45,12 @@
 {
     auto page = co_await m_store->newest(table, std::move(afterKey));
     if (table == StoreTable::Endpoints && page.ok()) {
+        noteEra(page->end.era());
+    }
+    // Of a copy: whoever follows this daemon may miss an endpoint that the copy lacks, so its first entry in the new
+    // era is handed on.
+    const bool mayBeCopied = page.ok() && page->end.era() > StoreEra();
+    if (table == StoreTable::Endpoints && page.ok() && !mayBeCopied) {
         for (const auto &record : page->records) {
             note(record);
         }
@@ -59,19 +66,31 @@
 
 http::Awaitable<KeyedReadResult> RelayedStore::read(StoreTable table, StoreOffset from, Duration wait)
 {
+    if (table == StoreTable::OperatorDocuments) {
+        const auto now = m_clock.now();
+        co_return co_await m_store->read(table, from,
+                                         m_documentWatch.beginRead(from, m_relay.hasRecentQueries(now), now));
+    }
     if (table != StoreTable::Endpoints) {
         co_return co_await m_store->read(table, from, wait);
     }
-    if (auto answer = co_await askOther(table, from); answer && answer->age <= m_options.longestAge) {
+    auto answer = co_await askOther(table, from);
+    if (answer && answer->run.next.era() > from.era()) {
+        co_return KeyedRun{{}, StoreOffset(0, answer->run.next.era()), true, std::nullopt};
+    }
+    if (answer && answer->age <= m_options.longestAge && answer->run.next.era() == from.era()) {
         for (const auto &record : answer->run.records) {
             note(record);
         }
-        m_documentsBefore = std::exchange(m_documentsHeard, answer->documents);
+        m_documentWatch.recordPeer(answer->documents, m_clock.now());
         answer->run.nextReadDelay = m_options.interval;
         co_return std::move(answer->run);
     }
     const auto sentAt = m_clock.now();
     auto run = co_await m_store->read(table, from, wait);
+    if (run.ok()) {
+        noteEra(run->next.era());
+    }
     if (run.ok() && !run->dropped) {
         KeyedRun news{{}, run->next, false, std::nullopt};
         for (const auto &record : run->records) {
@@ -87,14 +106,12 @@
     co_return run;
 }
 
-bool RelayedStore::documentsMissing(StoreOffset next)
+void RelayedStore::noteEra(StoreEra era)
 {
-    const bool missing = m_documentsHeard && m_documentsBefore && *m_documentsHeard > next && *m_documentsBefore > next;
-    if (missing) {
-        m_documentsHeard.reset();
-        m_documentsBefore.reset();
+    if (era > m_era) {
+        m_era = era;
+        m_known.clear();
     }
-    return missing;
 }
 
 bool RelayedStore::note(const KeyedRecord &record)
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -30,9 +30,14 @@
 constexpr std::size_t kReadSize = std::size_t(16) * 1024;
 constexpr std::uint32_t kMaxHeadBytes = std::uint32_t(8) * 1024;
 constexpr std::size_t kMaxFramingBytes = std::size_t(16) * 1024; ///< Of a chunk's header, or of the trailer.
+/// Of the kernel, for bytes that are not read yet: they count against the process's memory. Twice
+/// this many are kept, as much as 10 Mbit/s bring in 100 ms.
+constexpr int kReceiveBufferBytes = 64 * 1024;
 constexpr int kMaxInterimAnswers = 8; ///< Answers with status 1xx before the final one.
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kSwitchingProtocols = 101; ///< The only status below that no other answer follows.
+constexpr unsigned kLastStatus = 599; ///< RFC 9110, 15: others are invalid.
+constexpr unsigned kSwitchingProtocols = 101; ///< Answers a wish for it, which no call has.
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
@@ -48,6 +53,7 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
     socket.set_option(asio::socket_base::keep_alive(true), ec);
     socket.set_option(KeepIdle(countOf<std::chrono::seconds>(silence.idle)), ec);
     socket.set_option(KeepInterval(countOf<std::chrono::seconds>(silence.interval)), ec);
@@ -66,6 +72,9 @@
     if (ec == asio::error::connection_refused) {
         return absl::StatusCode::kNotFound;
     }
+    if (ec == asio::error::no_descriptors) {
+        return absl::StatusCode::kResourceExhausted;
+    }
     using Error = beast::http::error;
     if (ec == Error::header_limit || ec == Error::body_limit) {
         return absl::StatusCode::kResourceExhausted;
@@ -73,9 +82,9 @@
     return absl::StatusCode::kUnavailable;
 }
 
-bool isInterim(unsigned status)
+bool isValid(unsigned status)
 {
-    return status < kFirstFinalStatus && status != kSwitchingProtocols;
+    return status >= kFirstStatus && status <= kLastStatus && status != kSwitchingProtocols;
 }
 
 } // namespace
@@ -149,7 +158,11 @@
         if (ec) {
             co_return failed(Step::Receive, ec);
         }
-        if (!isInterim(m_parser->get().result_int())) {
+        const auto status = m_parser->get().result_int();
+        if (!isValid(status)) {
+            co_return failed(Step::Receive, beast::http::error::bad_status);
+        }
+        if (status >= kFirstFinalStatus) {
             co_return Response(m_parser->get().base());
         }
     }
@@ -207,7 +220,8 @@
     return ec;
 }
 
-Awaitable<absl::StatusOr<std::string>> ClientConnection::readRest(Duration timeout, std::uint64_t maxBytes)
+Awaitable<absl::StatusOr<std::string>> ClientConnection::readRest(Duration timeout, std::uint64_t maxBytes,
+                                                                  MemoryHold *hold)
 {
     if (!m_parser->is_done() && m_parser->content_length_remaining().value_or(0) > maxBytes) {
         co_return failed(Step::Receive, beast::http::error::body_limit);
@@ -216,9 +230,15 @@
     std::string whole;
     while (!m_parser->is_done()) {
         auto data = co_await readSomeUntil(end);
-        if (!data.ok()) {
+        const bool ended = hold != nullptr && hold->ended();
+        if (!data.ok() && !ended) {
             co_return data.status();
         }
+        if (ended || (hold != nullptr && !hold->grow(data->size()))) {
+            static_cast<void>(failed(Step::Receive, beast::http::error::body_limit));
+            co_return errorAt(absl::StatusCode::kResourceExhausted, Step::Receive, m_peer.str(),
+                              "there is no memory for the answer");
+        }
         whole += *data;
         if (whole.size() > maxBytes) {
             co_return failed(Step::Receive, beast::http::error::body_limit);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/memory_account.h"
 #include "http/message.h"
 #include "mimosahub/endpoint.h"
 #include "mimosahub/error.h"
@@ -31,13 +32,15 @@
 public:
     ClientConnection(asio::io_context &io, Address peer, const SilenceOptions &silence = {});
 
-    /// Connects within \a timeout. Error: NotFound if the peer refuses connections.
+    /// Connects within \a timeout. Errors: NotFound if the peer refuses connections,
+    /// ResourceExhausted if the process has no descriptor left.
     Awaitable<absl::Status> connect(Duration timeout);
     /// Writes \a request and begins a call, which ends within \a timeout: no read
     /// of its answer goes on after that, whatever that read may take by itself.
     /// Once it has begun, bytes may have reached the peer.
     Awaitable<absl::Status> send(Request &request, Duration timeout);
-    /// Reads the final answer's header; interim ones are passed over.
+    /// Reads the final answer's header; interim ones are passed over. A status that no
+    /// answer to a call can have ends the connection.
     Awaitable<absl::StatusOr<Response>> readHeader(Duration timeout);
     /// Reads more of the body: all bytes that have come, at least one, or empty at
     /// the end of the answer.
@@ -48,8 +51,10 @@
     /// As readSome(), but absent, with a connection that can still be read, if nothing
     /// of the body comes for \a patience.
     Awaitable<absl::StatusOr<std::optional<std::string>>> readSomeWithin(Duration patience);
-    /// Reads the rest of the body, of at most \a maxBytes, within \a timeout.
-    Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes);
+    /// Reads the rest of the body, of at most \a maxBytes, within \a timeout. \a hold, if any, keeps account of
+    /// it; if that has no room or is ended, the read ends with ResourceExhausted.
+    Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes,
+                                                    MemoryHold *hold = nullptr);
     /// Reads a whole answer, of at most \a maxBytes of body, within \a timeout.
     Awaitable<absl::StatusOr<Response>> readAnswer(Duration timeout, std::uint64_t maxBytes);
     /// Sends \a request and reads its whole answer, as readAnswer().
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/body_reader.h"
+#include "http/memory_account.h"
 #include "http/message.h"
 #include "mimosahub/endpoint.h"
 
@@ -19,18 +21,23 @@
 struct ServerOptions {
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = std::uint64_t(1024) * 1024;
-    std::size_t maxConnections = 4096;
+    std::size_t maxConnections = 4096; ///< At the limit, a new one replaces the longest-idle one.
     Duration idleTimeout = std::chrono::seconds(60); ///< Between requests of one connection.
     Duration headerTimeout = std::chrono::seconds(10); ///< From a request's first byte to the end of its header.
     /// For the first byte of a new connection, reading one request, or writing one
     /// piece of an answer.
     Duration messageTimeout = std::chrono::seconds(10);
+    Duration bodyPause = std::chrono::seconds(5); ///< Longest time without a byte within a body.
+    Duration admissionWait = std::chrono::seconds(2); ///< For which a large body waits for memory.
+    /// Of the kernel, for bytes that are not read yet; 0: the system's, which grows with the sender's rate.
+    int receiveBufferBytes = 0;
 };
 
 /// Counters of a server, readable from any thread.
 struct ServerCounters {
     std::atomic<std::uint64_t> accepted{0};
-    std::atomic<std::uint64_t> refusedConnections{0}; ///< Above maxConnections.
+    std::atomic<std::uint64_t> refusedConnections{0}; ///< Above maxConnections, with no idle one to close.
+    std::atomic<std::uint64_t> givenUp{0}; ///< Idle connections that were closed for a new one.
     std::atomic<std::uint64_t> malformed{0}; ///< Requests that could not be read.
     std::atomic<std::uint64_t> failed{0}; ///< Requests whose handler ended by an exception.
     std::atomic<std::uint64_t> open{0};
@@ -48,6 +55,11 @@
     {
         return m_request;
     }
+    /// The request's body, which may be lent to the call that carries it on.
+    [[nodiscard]] std::string &body()
+    {
+        return m_request.body();
+    }
     [[nodiscard]] bool answered() const
     {
         return m_answered;
@@ -106,6 +118,7 @@
 };
 
 class IdleWatch;
+class IdleConnections;
 
 /// Answers one request. It is cancelled when the caller closes its connection.
 using Handler = std::function<Awaitable<void>(Exchange &)>;
@@ -119,6 +132,8 @@
     static absl::StatusOr<std::shared_ptr<Server>> listen(asio::io_context &io, const Address &address,
                                                           ServerOptions options, Handler handler);
 
+    ~Server();
+
     /// Starts accepting.
     void start();
     /// Stops accepting, after taking what has connected already; open connections
@@ -126,6 +141,12 @@
     void stopAccepting();
     /// Ends each connection with the next answer that begins.
     void drain();
+    /// Makes \a account keep the memory of bodies. To be called before start(); it must outlive the
+    /// server's connections.
+    void setMemory(MemoryAccount &account)
+    {
+        m_memory = &account;
+    }
     /// Bounds requests that begin from now on, and the time for which connections that
     /// are idle already stay open.
     void setLimits(const ServerOptions &options)
@@ -146,16 +167,25 @@
     Awaitable<void> serve(asio::ip::tcp::socket socket, std::unique_ptr<BusyMark> busy);
     static Awaitable<bool> readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer);
     Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer);
-    static Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
+    /// Closes the longest-idle connection; false if none is idle.
+    bool giveUpIdle();
+    Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
     Awaitable<void> runHandler(Exchange &exchange);
     Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    Awaitable<std::optional<Refusal>> readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                               BodyReader::Parser &parser, MemoryHold &hold);
     Awaitable<void> rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec);
+    Awaitable<void> reject(beast::tcp_stream &stream, Refusal refusal);
 
     asio::io_context &m_io;
     ServerOptions m_options;
     Handler m_handler;
     asio::ip::tcp::acceptor m_acceptor;
     ServerCounters m_counters;
+    SystemClock m_clock;
+    MemoryAccount m_unlimited{m_clock, {}};
+    MemoryAccount *m_memory = &m_unlimited;
+    std::unique_ptr<IdleConnections> m_idle;
     std::atomic<bool> m_draining{false};
 };
 
