--- a/src/forward/duty_lease_test.cc
+++ b/src/forward/duty_lease_test.cc
@@ -37,7 +37,7 @@
 /// Lets \a lease write what it wants at \a now, successfully; absent if it wants nothing.
 std::optional<DutyLeaseRecord> write(DutyLease &lease, TimePoint now)
 {
-    const auto record = lease.nextWrite(now, 0);
+    auto record = lease.nextWrite(now, 0);
     if (record) {
         lease.writeBegan(*record, now);
         lease.writeEnded(true, now);
@@ -321,6 +321,7 @@
 Test(duty_lease, candidates_stay_and_are_strong)
 {
     std::vector<DaemonEntry> daemons;
+    daemons.reserve(10);
     for (int i = 0; i < 10; ++i) {
         daemons.push_back({InstanceId("d" + std::to_string(i)), ZoneId("z"), {"h", 1}, 1, i < 5 ? 1.0 : 0.2, i == 0});
     }
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -63,7 +63,7 @@
     http::MemoryOptions options;
     options.budget = limits.bufferBytes();
     // Each body that waits leaves up to twice kReceiveBufferBytes in the kernel.
-    const auto waiting = options.budget / kWaitingShare / (2 * kReceiveBufferBytes);
+    const auto waiting = options.budget / kWaitingShare / (std::uint64_t(2) * kReceiveBufferBytes);
     options.maxWaiting = std::clamp<std::size_t>(waiting, kLeastWaiting, kMostWaiting);
     return options;
 }
