--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -635,6 +635,7 @@
 {
     BatchPlanner planner(rule(44), {});
     std::vector<ListedEndpoint> endpoints;
+    endpoints.reserve(10);
     for (int n = 0; n < 10; ++n) {
         endpoints.push_back(endpoint("e" + std::to_string(n)));
     }
@@ -657,6 +658,7 @@
 {
     BatchPlanner planner(rule(44), {});
     std::vector<ListedEndpoint> endpoints;
+    endpoints.reserve(10);
     for (int n = 0; n < 10; ++n) {
         endpoints.push_back(endpoint("e" + std::to_string(n)));
     }
