--- a/src/http/client_test.cc
+++ b/src/http/client_test.cc
@@ -182,7 +182,8 @@
                      {.begin = head + "Content-Length: 1\r\n\r\nx", .end = Script::End::Closed},
                      absl::StatusCode::kUnavailable);
         checkRefused(absl::StrCat("status ", status, " before a final answer"),
-                     {.begin = head + "\r\n" + kHead + "Content-Length: 1\r\n\r\nx"}, absl::StatusCode::kUnavailable);
+                     {.begin = absl::StrCat(head, "\r\n", kHead, "Content-Length: 1\r\n\r\nx")},
+                     absl::StatusCode::kUnavailable);
     }
     for (const auto *status : {"200", "204", "304", "599"}) {
         const auto end = endOfCall({.begin = absl::StrCat("HTTP/1.1 ", status, " x\r\nContent-Length: 0\r\n\r\n")});
--- a/src/http/memory_account_test.cc
+++ b/src/http/memory_account_test.cc
@@ -79,6 +79,7 @@
     Load load;
     while (load.account.admit(load.add(), kBody) == Admission::Admitted) { }
     std::vector<std::unique_ptr<MemoryWait>> waits;
+    waits.reserve(3);
     for (int i = 0; i < 3; ++i) {
         waits.push_back(std::make_unique<MemoryWait>(load.account, load.add(), kBody, [] {}));
     }
@@ -234,7 +235,7 @@
     stalled.record(kBody, begin + 1s);
     cr_assert(stalled.end() == begin + 6s); // The pause, though its rate would allow more.
     BodyPace dripping({}, true, begin);
-    dripping.record(32 * 1024, begin + 2s);
+    dripping.record(std::uint64_t(32) * 1024, begin + 2s);
     cr_assert(dripping.end() == begin + 4s);
     BodyPace small({}, false, begin);
     for (int i = 0; i < 9; ++i) {
