--- a/src/forward/batch_planner_test.cc
+++ b/src/forward/batch_planner_test.cc
@@ -629,11 +629,12 @@
     cr_expect(planner.load(kStart + 1s).rest == Duration::zero());
 }
 
-// Nine of ten endpoints are busy. Guards against a small call that takes the last free endpoint
-// at once, and against a wait that nobody ends.
-Test(batch_planner, a_small_call_waits_a_little_for_others_while_endpoints_are_nearly_busy)
+namespace
+{
+
+/// Lists ten endpoints and starts a full call at nine of them.
+void occupyNineOfTen(BatchPlanner &planner)
 {
-    BatchPlanner planner(rule(44), {});
     std::vector<ListedEndpoint> endpoints;
     endpoints.reserve(10);
     for (int n = 0; n < 10; ++n) {
@@ -644,6 +645,16 @@
         static_cast<void>(planner.add(order("large" + std::to_string(n), 44)));
     }
     cr_assert_eq(planner.takeCalls(kStart).size(), 9U);
+}
+
+} // namespace
+
+// Nine of ten endpoints are busy. Guards against a small call that takes the last free endpoint
+// at once, and against a wait that nobody ends.
+Test(batch_planner, a_small_call_waits_a_little_for_others_while_endpoints_are_nearly_busy)
+{
+    BatchPlanner planner(rule(44), {});
+    occupyNineOfTen(planner);
     static_cast<void>(planner.add(order("small", 2)));
     cr_assert(planner.takeCalls(kStart).empty());
     const auto wakeup = planner.nextWakeup(kStart);
@@ -657,16 +668,7 @@
 Test(batch_planner, nothing_waits_to_fill_a_call_beside_a_late_order)
 {
     BatchPlanner planner(rule(44), {});
-    std::vector<ListedEndpoint> endpoints;
-    endpoints.reserve(10);
-    for (int n = 0; n < 10; ++n) {
-        endpoints.push_back(endpoint("e" + std::to_string(n)));
-    }
-    planner.setEndpoints(endpoints);
-    for (int n = 0; n < 9; ++n) {
-        static_cast<void>(planner.add(order("large" + std::to_string(n), 44)));
-    }
-    cr_assert_eq(planner.takeCalls(kStart).size(), 9U);
+    occupyNineOfTen(planner);
     auto late = order("late", 2);
     late.dueAt = kStart + 100ms;
     static_cast<void>(planner.add(late));
