Hold a request from its first byte, with what the kernel holds for it

What callers saw: with enough clients that send only a part of a header, or nothing, an ordinary caller found no place for 10 s; a daemon with little memory passed its limit by what the kernel held of bodies, pipelines and answers; a body of 4 MiB on a link of 370 KiB/s was refused (408).

Cause: the account began with the body. Headers, connections and the kernel's buffers were in no sum; receive buffers were 64 KiB (128 KiB in the kernel) for each connection, send buffers grew without bound. At the limit of connections only those idle between requests could go. A body had 10 s in all, less than the longest time-out of a route.

Change: a request takes 32 KiB with its first byte and keeps them until its answer, or until the rest of a refused request is dropped. What makes no progress for 1 s ends if others need the room; a body that waits for room has not stalled. Connections start with a receive buffer of 16 KiB that grows to 64 KiB, held by the account, once a large body is admitted; send buffers are bounded. At the limit of connections silent ones go first, then idle ones, then requests that have stalled. A body may take as long as the longest time-out of a route. Refusals of unfinished requests repeat the request's id if it has come. MemoryShares divides a process's memory; MemoryMetrics moves below both interfaces and labels its metrics by account.

--- a/src/gateway/call_protocol.h
+++ b/src/gateway/call_protocol.h
@@ -87,6 +87,8 @@
     [[nodiscard]] virtual EndpointHead readHead(const http::Response &head) const = 0;
     /// \a head without what concerns the endpoint's connection only.
     [[nodiscard]] virtual http::Response callerHead(const http::Response &head) const = 0;
+    /// The header field by which callers name their requests.
+    [[nodiscard]] virtual std::string_view requestIdField() const = 0;
     /// The answer that carries \a refusal.
     [[nodiscard]] virtual http::Response refusalResponse(const Refusal &refusal, const RequestId &id) const = 0;
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/settings.h"
+#include "http/memory_shares.h"
 
 #include <algorithm>
 #include <optional>
@@ -61,13 +62,9 @@
     int descriptors = 4096; ///< Open files and sockets.
     std::optional<int> bufferMb; ///< For bodies of requests and answers; absent: a share of memoryMb.
 
-    /// Bytes that bodies of requests and answers may hold together. Half of what an idle process
-    /// leaves: the rest is for tables, connections and the kernel's socket buffers.
-    [[nodiscard]] std::uint64_t bufferBytes() const
+    [[nodiscard]] http::MemoryShares memoryShares() const
     {
-        constexpr int kIdleMb = 16; // An idle process held 13 MB.
-        const int share = (memoryMb - kIdleMb - memoryMb / 8) / 2;
-        return static_cast<std::uint64_t>(bufferMb.value_or(share)) << 20U;
+        return http::MemoryShares::of(memoryMb, bufferMb);
     }
 };
 
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/descriptor_shares.h"
 #include "http/event_loop.h"
+#include "http/socket_buffers.h"
 
 #include <boost/asio/post.hpp>
 
@@ -20,8 +21,6 @@
 /// is believed to be at the moment.
 constexpr double kSafeShare = 0.6;
 
-/// Of the kernel, for bytes of one caller that are not read yet; it keeps twice as many.
-constexpr int kReceiveBufferBytes = 64 * 1024;
 /// The part of the budget of bodies whose size those may have in the kernel that wait for room.
 constexpr std::uint64_t kWaitingShare = 8;
 constexpr std::size_t kLeastWaiting = 16;
@@ -46,24 +45,21 @@
     return ExposureLimit{settings.rollouts->exposureShare, settings.rollouts->exposureSlack};
 }
 
-http::ServerOptions serverOptions(const CallerLimits &limits, const DescriptorShares &shares)
+Duration longestTimeout(const GatewayConfiguration &configuration)
 {
-    http::ServerOptions options;
-    options.maxConnections = shares.callers;
-    options.maxHeaderBytes = limits.headerBytes;
-    options.maxBodyBytes = limits.bodyBytes;
-    options.headerTimeout = limits.headerTimeout;
-    options.idleTimeout = limits.idleTimeout;
-    options.receiveBufferBytes = kReceiveBufferBytes;
-    return options;
+    Duration longest{};
+    for (const auto &route : configuration.parts().routes) {
+        longest = std::max(longest, route.timeout);
+    }
+    return longest;
 }
 
 http::MemoryOptions memoryOptions(const InstanceLimits &limits)
 {
     http::MemoryOptions options;
-    options.budget = limits.bufferBytes();
-    // Each body that waits leaves up to twice kReceiveBufferBytes in the kernel.
-    const auto waiting = options.budget / kWaitingShare / (std::uint64_t(2) * kReceiveBufferBytes);
+    options.budget = limits.memoryShares().requests;
+    // Each body that waits leaves up to twice its buffer in the kernel.
+    const auto waiting = options.budget / kWaitingShare / (std::uint64_t(2) * http::kCallerReceiveBytes);
     options.maxWaiting = std::clamp<std::size_t>(waiting, kLeastWaiting, kMostWaiting);
     return options;
 }
@@ -95,9 +91,9 @@
         self->m_router->setDuties(*self->m_dutyReporter);
     }
     self->makeContext();
-    auto server = http::Server::listen(*self->m_io, shared.settings.listen.callers,
-                                       serverOptions({}, DescriptorShares::of(shared.settings.limits.descriptors)),
-                                       [self](http::Exchange &exchange) { return self->handle(exchange); });
+    auto server =
+        http::Server::listen(*self->m_io, shared.settings.listen.callers, self->serverOptions({}, Duration::zero()),
+                             [self](http::Exchange &exchange) { return self->handle(exchange); });
     if (!server.ok()) {
         return server.status();
     }
@@ -108,7 +104,7 @@
 
 GatewayTraffic::GatewayTraffic(const GatewayShared &shared, std::uint64_t seed)
     : m_shared(shared),
-      m_memoryMetrics(shared.clock, shared.metrics, shared.settings.limits.bufferBytes()),
+      m_memoryMetrics(shared.clock, shared.metrics, "requests", shared.settings.limits.memoryShares().requests),
       m_memory(shared.clock, memoryOptions(shared.settings.limits)),
       m_io(std::make_unique<boost::asio::io_context>(1)),
       m_work(boost::asio::make_work_guard(*m_io)),
@@ -263,8 +259,25 @@
     setStages(view);
     applyRests();
     closeUnlisted(view);
-    m_server->setLimits(
-        serverOptions(view.configuration->parts().limits, DescriptorShares::of(m_shared.settings.limits.descriptors)));
+    const auto &configuration = *view.configuration;
+    m_server->setLimits(serverOptions(configuration.parts().limits, longestTimeout(configuration)));
+}
+
+/// \a longestRequest: the longest time-out of a route. A body that comes within it is in time.
+http::ServerOptions GatewayTraffic::serverOptions(const CallerLimits &limits, Duration longestRequest) const
+{
+    http::ServerOptions options;
+    options.maxConnections = DescriptorShares::of(m_shared.settings.limits.descriptors).callers;
+    options.maxHeaderBytes = limits.headerBytes;
+    options.maxBodyBytes = limits.bodyBytes;
+    options.headerTimeout = limits.headerTimeout;
+    options.idleTimeout = limits.idleTimeout;
+    options.bodyTimeout = std::max(options.bodyTimeout, longestRequest);
+    options.receiveBufferBytes = http::kCallerReceiveBytes;
+    options.bodyReceiveBufferBytes = http::kBodyReceiveBytes;
+    options.sendBufferBytes = http::kCallerSendBytes;
+    options.requestIdField = m_shared.protocol.requestIdField();
+    return options;
 }
 
 // An endpoint that has ended or leaves is called no more.
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -3,8 +3,8 @@
 #include "base/metrics.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/memory_metrics.h"
 #include "gateway/stage_router.h"
+#include "http/memory_metrics.h"
 
 #include <absl/status/statusor.h>
 
@@ -64,6 +64,11 @@
     void refuseNew();
     /// Gives up the requests that are still open. Any thread.
     void cutShort();
+    /// Counters of callers' connections. Any thread.
+    [[nodiscard]] const http::ServerCounters &serverCounters() const
+    {
+        return m_server->counters();
+    }
     /// Requests that are not answered yet. Any thread.
     [[nodiscard]] std::uint64_t openRequests() const
     {
@@ -86,9 +91,10 @@
     void applyRest(const EndpointStart &endpoint, TimePoint until);
     void boundSecondSends(std::size_t daemons);
     void setStages(const GatewayView &view);
+    [[nodiscard]] http::ServerOptions serverOptions(const CallerLimits &limits, Duration longestRequest) const;
 
     const GatewayShared m_shared;
-    MemoryMetrics m_memoryMetrics;
+    http::MemoryMetrics m_memoryMetrics;
     http::MemoryAccount m_memory;
     std::unique_ptr<boost::asio::io_context> m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
--- a/src/http/body_reader.cc
+++ b/src/http/body_reader.cc
@@ -4,6 +4,7 @@
 #include "http/body_reader.h"
 
 #include "base/hash.h"
+#include "http/socket_buffers.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -39,6 +40,14 @@
 
 } // namespace
 
+Refusal memoryRefusal(MemoryRefusal reason)
+{
+    if (reason == MemoryRefusal::TooSlow || reason == MemoryRefusal::Stalled) {
+        return makeRefusal(Reason::RequestTimeout, "the request came too slowly", Step::Parse, kRetryAfter);
+    }
+    return makeRefusal(Reason::Overloaded, "this daemon has no memory for the request now", Step::Parse, kRetryAfter);
+}
+
 /// Cancels the read of a body that has missed the end of its pace. Unlike a time-out of the stream,
 /// which closes it, this leaves a connection on which the refusal can be written.
 class BodyReader::PaceWatch : public std::enable_shared_from_this<PaceWatch>
@@ -101,7 +110,8 @@
       m_hold(hold),
       m_clock(clock),
       m_options(options),
-      m_pace(options.pace, false, clock.now())
+      m_pace(options.pace, false, clock.now()),
+      m_overhead(hold.bytes())
 {
 }
 
@@ -133,7 +143,7 @@
         if (readsAhead) {
             m_buffer.shrink_to_fit();
         }
-        m_hold.shrinkTo(bodyBytes());
+        m_hold.shrinkTo(m_overhead + m_window + bodyBytes());
         m_hold.setReceived();
     }
     co_return ec;
@@ -141,20 +151,23 @@
 
 Awaitable<bool> BodyReader::admit(std::uint64_t bytes)
 {
-    if (bytes > m_account.options().smallBytes) {
+    const bool large = bytes > m_account.options().smallBytes;
+    const auto window = large ? static_cast<std::uint64_t>(m_options.windowBytes) : 0;
+    if (large) {
         m_hold.setClient(clientOf(m_stream));
     }
-    const auto admission = m_account.admit(m_hold, bytes);
+    const auto admission = m_account.admit(m_hold, bytes + window);
     if (admission == MemoryAccount::Admission::Wait) {
-        if (!co_await waitForRoom(bytes)) {
+        if (!co_await waitForRoom(bytes + window)) {
             m_account.recordRefusal(MemoryRefusal::WaitedTooLong, bytes);
-            refuseFor(MemoryRefusal::WaitedTooLong);
+            m_refusal = memoryRefusal(MemoryRefusal::WaitedTooLong);
             co_return false;
         }
     } else if (admission == MemoryAccount::Admission::Refused) {
-        refuseFor(MemoryRefusal::NoRoom);
+        m_refusal = memoryRefusal(MemoryRefusal::NoRoom);
         co_return false;
     }
+    widen(window);
     m_pace = BodyPace(m_options.pace, bytes > m_options.pace.smallBytes, m_clock.now());
     co_return true;
 }
@@ -182,12 +195,12 @@
         const auto before = bodyBytes();
         const auto [ec, n] = co_await beast::http::async_read_some(m_stream, m_buffer, m_parser, kTuple);
         if (m_hold.ended()) {
-            refuseFor(m_hold.reason());
+            m_refusal = memoryRefusal(m_hold.reason());
             co_return boost::system::error_code();
         }
         if (watch.expired() && !m_parser.is_done()) {
             m_account.recordRefusal(MemoryRefusal::TooSlow, m_hold.bytes());
-            refuseFor(MemoryRefusal::TooSlow);
+            m_refusal = memoryRefusal(MemoryRefusal::TooSlow);
             co_return boost::system::error_code();
         }
         if (ec) {
@@ -201,6 +214,15 @@
     co_return boost::system::error_code();
 }
 
+/// Lets the sender send \a window bytes ahead, for which room was taken; 0: no more than before.
+void BodyReader::widen(std::uint64_t window)
+{
+    if (window > 0) {
+        m_window = window;
+        widenReceiveWindow(m_stream.socket(), m_options.windowBytes);
+    }
+}
+
 bool BodyReader::holdWhatCame(std::size_t before)
 {
     const auto now = bodyBytes();
@@ -208,23 +230,17 @@
         m_hold.recordProgress();
         return true;
     }
+    std::uint64_t window = 0;
     if (now > m_options.pace.smallBytes) {
         m_pace.setLarge();
+        window = m_window == 0 ? static_cast<std::uint64_t>(m_options.windowBytes) : 0;
     }
-    if (m_hold.grow(now - before)) {
+    if (m_hold.grow(now - before + window)) {
+        widen(window);
         return true;
     }
-    refuseFor(m_hold.ended() ? m_hold.reason() : MemoryRefusal::NoRoom);
+    m_refusal = memoryRefusal(m_hold.ended() ? m_hold.reason() : MemoryRefusal::NoRoom);
     return false;
 }
 
-void BodyReader::refuseFor(MemoryRefusal reason)
-{
-    if (reason == MemoryRefusal::TooSlow || reason == MemoryRefusal::Stalled) {
-        m_refusal = makeRefusal(Reason::RequestTimeout, "the body came too slowly", Step::Parse, kRetryAfter);
-        return;
-    }
-    m_refusal = makeRefusal(Reason::Overloaded, "this daemon has no memory for the body now", Step::Parse, kRetryAfter);
-}
-
 } // namespace mimosahub::http
--- a/src/http/body_reader.h
+++ b/src/http/body_reader.h
@@ -17,8 +17,12 @@
 struct BodyReaderOptions {
     BodyPaceOptions pace;
     Duration admissionWait = std::chrono::seconds(2); ///< Longest time for which a body waits for room.
+    int windowBytes = 0; ///< That the sender of a large body may send ahead; 0: as many as before.
 };
 
+/// What a caller is told whose request is refused or ended for \a reason, before it has run.
+[[nodiscard]] Refusal memoryRefusal(MemoryRefusal reason);
+
 /// Reads the body of one request, of whose memory the hold keeps account. While it waits for room it
 /// reads nothing, so that the sender is held up.
 class BodyReader
@@ -37,6 +41,12 @@
     {
         return m_refusal;
     }
+    /// Bytes that the connection's sender may send ahead of what is read, more than before; held from now
+    /// on by each of the connection's requests.
+    [[nodiscard]] std::uint64_t windowBytes() const
+    {
+        return m_window;
+    }
 
 private:
     class PaceWatch;
@@ -46,7 +56,7 @@
     Awaitable<bool> waitForRoom(std::uint64_t bytes);
     Awaitable<boost::system::error_code> readRest(const PaceWatch &watch);
     bool holdWhatCame(std::size_t before);
-    void refuseFor(MemoryRefusal reason);
+    void widen(std::uint64_t window);
     [[nodiscard]] std::uint64_t bodyBytes() const
     {
         return m_parser.get().body().size();
@@ -60,6 +70,8 @@
     const Clock &m_clock;
     const BodyReaderOptions &m_options;
     BodyPace m_pace;
+    std::uint64_t m_overhead; ///< Held before the body.
+    std::uint64_t m_window = 0;
     std::optional<Refusal> m_refusal;
 };
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -8,6 +8,7 @@
 
 #include "http/client.h"
 
+#include "http/socket_buffers.h"
 #include "http/socket_state.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -30,9 +31,6 @@
 constexpr std::size_t kReadSize = std::size_t(16) * 1024;
 constexpr std::uint32_t kMaxHeadBytes = std::uint32_t(8) * 1024;
 constexpr std::size_t kMaxFramingBytes = std::size_t(16) * 1024; ///< Of a chunk's header, or of the trailer.
-/// Of the kernel, for bytes that are not read yet: they count against the process's memory. Twice
-/// this many are kept, as much as 10 Mbit/s bring in 100 ms.
-constexpr int kReceiveBufferBytes = 64 * 1024;
 constexpr int kMaxInterimAnswers = 8; ///< Answers with status 1xx before the final one.
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -53,7 +51,6 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
-    socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
     socket.set_option(asio::socket_base::keep_alive(true), ec);
     socket.set_option(KeepIdle(countOf<std::chrono::seconds>(silence.idle)), ec);
     socket.set_option(KeepInterval(countOf<std::chrono::seconds>(silence.interval)), ec);
@@ -114,6 +111,13 @@
     if (ec) {
         co_return failed(Step::Connect, ec);
     }
+    // Before the connection is opened: its window goes by them.
+    m_stream.socket().open(ip.is_v4() ? tcp::v4() : tcp::v6(), ec);
+    if (ec) {
+        co_return failed(Step::Connect, ec);
+    }
+    m_stream.socket().set_option(asio::socket_base::receive_buffer_size(kEndpointReceiveBytes), ec);
+    m_stream.socket().set_option(asio::socket_base::send_buffer_size(kEndpointSendBytes), ec);
     m_stream.expires_after(timeout);
     const auto [connectError] = co_await m_stream.async_connect(tcp::endpoint(ip, m_peer.port), kTuple);
     if (connectError) {
--- a/src/http/memory_account.cc
+++ b/src/http/memory_account.cc
@@ -52,6 +52,22 @@
     }
 }
 
+bool MemoryHold::resize(std::uint64_t bytes)
+{
+    if (bytes > m_bytes) {
+        return grow(bytes - m_bytes);
+    }
+    shrinkTo(bytes);
+    recordProgress();
+    return !m_ended;
+}
+
+void MemoryHold::setBlocked(bool blocked)
+{
+    m_blocked = blocked;
+    recordProgress();
+}
+
 void MemoryHold::recordProgress()
 {
     m_progressAt = m_account.m_clock.now();
@@ -61,11 +77,14 @@
     : m_account(account), m_hold(hold), m_bytes(bytes), m_onRoom(std::move(onRoom))
 {
     m_account.m_waiting.push_back(this);
+    m_hold.m_waiting = true;
 }
 
 MemoryWait::~MemoryWait()
 {
     m_account.m_waiting.remove(this);
+    m_hold.m_waiting = false;
+    m_hold.recordProgress();
 }
 
 MemoryAccount::Admission MemoryAccount::admit(MemoryHold &hold, std::uint64_t bytes)
@@ -158,20 +177,28 @@
 
 bool MemoryAccount::hasStalled(const MemoryHold &hold) const
 {
-    return hold.m_use == MemoryUse::Body && m_clock.now() - hold.m_progressAt >= m_options.stall;
+    const bool mayStall = hold.m_use == MemoryUse::Body || hold.m_blocked;
+    return mayStall && !hold.m_waiting && m_clock.now() - hold.m_progressAt >= m_options.stall;
+}
+
+/// Whether \a hold, which has not stalled, may end for one that needs \a bytes: it is unfinished and
+/// larger, and its room was not promised before. A sound stream is never large.
+bool MemoryAccount::mayEndFor(const MemoryHold &hold, std::uint64_t bytes) const
+{
+    const bool unfinished = hold.m_use == MemoryUse::Body || hold.m_use == MemoryUse::Answer
+        || (hold.m_use == MemoryUse::Stream && isLarge(hold.m_bytes));
+    return unfinished && !hold.m_announced && hold.m_bytes > bytes;
 }
 
 /// What is to end so that \a hold can have \a bytes: the largest that has stalled, or else the
-/// largest that is unfinished and larger than that, whose room was not promised before; of equals,
-/// the one that came last.
+/// largest that may end for it; of equals, the one that came last.
 MemoryHold *MemoryAccount::victimFor(const MemoryHold &hold, std::uint64_t bytes)
 {
     MemoryHold *victim = nullptr;
     bool victimStalled = false;
     for (auto &other : m_holds) {
         const bool stalled = hasStalled(other);
-        const bool unfinished = other.m_use != MemoryUse::Request && !other.m_announced && other.m_bytes > bytes;
-        if (&other == &hold || other.m_ended || other.m_bytes == 0 || !(stalled || unfinished)) {
+        if (&other == &hold || other.m_ended || other.m_bytes == 0 || !(stalled || mayEndFor(other, bytes))) {
             continue;
         }
         const bool first = victim == nullptr || (stalled && !victimStalled);
@@ -213,6 +240,22 @@
     }
 }
 
+bool MemoryAccount::endLongestStalled()
+{
+    MemoryHold *longest = nullptr;
+    for (auto &hold : m_holds) {
+        const bool longer = longest == nullptr || hold.m_progressAt < longest->m_progressAt;
+        if (longer && !hold.m_ended && hold.m_bytes > 0 && hasStalled(hold)) {
+            longest = &hold;
+        }
+    }
+    if (longest == nullptr) {
+        return false;
+    }
+    end(*longest, MemoryRefusal::Stalled);
+    return true;
+}
+
 void MemoryAccount::recordRefusal(MemoryRefusal refusal, std::uint64_t bytes)
 {
     if (m_observer != nullptr) {
--- a/src/http/memory_account.h
+++ b/src/http/memory_account.h
@@ -20,7 +20,8 @@
 enum class MemoryUse {
     Body, ///< Of a request that is still being received.
     Request, ///< Of a request that was received whole and waits for its answer.
-    Answer, ///< Of an answer that is still being received, or written.
+    Answer, ///< Of an answer that is still being received.
+    Stream, ///< Of a stream that is passed on event by event.
 };
 
 /// Why the account refused or ended something.
@@ -28,7 +29,7 @@
     NoRoom, ///< It didn't fit, and nothing larger could be ended for it.
     WaitedTooLong, ///< A large body, for room.
     TooManyWaiting, ///< Large bodies wait for room already.
-    Stalled, ///< It had made no progress, and others needed the room.
+    Stalled, ///< It had made no progress, or its reader took nothing, and others needed the room.
     Largest, ///< It was the largest unfinished one, and others needed the room.
     TooSlow, ///< A body fell below the minimum rate.
 };
@@ -40,13 +41,19 @@
 /// Budget of an account and how it is shared.
 struct MemoryOptions {
     std::uint64_t budget = UINT64_MAX; ///< Bytes.
-    std::uint64_t smallBytes = std::uint64_t(64) << 10U; ///< Anything above counts as large.
+    std::uint64_t smallBytes = std::uint64_t(128) << 10U; ///< Anything above counts as large.
     double largeShare = 0.875; ///< Of the budget, for all that is large; the rest is kept for small requests.
     double clientShare = 0.5; ///< Of the budget, for large bodies that one client address is still sending.
     std::size_t maxWaiting = 64; ///< Large bodies that wait for room; each has bytes in the kernel's buffers.
-    Duration stall = std::chrono::seconds(1); ///< Without progress for so long, a body is ended if others need room.
+    Duration stall = std::chrono::seconds(1); ///< What makes no progress for so long is ended if others need room.
 };
 
+/// What a request holds beside its body: its header, the state of its connection, and what the kernel
+/// holds for it, in bytes.
+constexpr std::uint64_t kRequestOverheadBytes = std::uint64_t(32) << 10U;
+/// What a stream holds beside its events: buffers of its endpoint's connection and of its caller's, in bytes.
+constexpr std::uint64_t kStreamOverheadBytes = std::uint64_t(48) << 10U;
+
 /// The bytes that one request or answer holds. Gives them back when it is destroyed, also
 /// while an exception is passed on.
 class MemoryHold : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
@@ -64,13 +71,22 @@
     [[nodiscard]] bool grow(std::uint64_t more);
     /// Gives back all but \a bytes.
     void shrinkTo(std::uint64_t bytes);
-    /// Records that bytes came for which room was taken before.
+    /// Grows or shrinks to \a bytes; false as for grow().
+    [[nodiscard]] bool resize(std::uint64_t bytes);
+    /// Records that bytes came for which room was taken before, or that the reader took some.
     void recordProgress();
+    /// Whether its bytes wait for a reader: it has stalled if that takes nothing.
+    void setBlocked(bool blocked);
     /// The request was received whole: from now on it is not ended in favour of others.
     void setReceived()
     {
         m_use = MemoryUse::Request;
     }
+    /// Replaces what is called if the account ends the hold.
+    void setOnEnd(std::function<void()> onEnd)
+    {
+        m_onEnd = std::move(onEnd);
+    }
     /// Names the one who sends: a hash of its address.
     void setClient(std::uint64_t client)
     {
@@ -92,6 +108,7 @@
 
 private:
     friend class MemoryAccount;
+    friend class MemoryWait;
 
     MemoryAccount &m_account;
     MemoryUse m_use;
@@ -100,6 +117,8 @@
     std::uint64_t m_client = 0;
     TimePoint m_progressAt;
     bool m_announced = false; ///< All of its bytes were taken before they came.
+    bool m_blocked = false;
+    bool m_waiting = false; ///< For room, so that nothing of it is read.
     bool m_ended = false;
     MemoryRefusal m_reason = MemoryRefusal::NoRoom;
 };
@@ -164,6 +183,8 @@
     [[nodiscard]] Admission admit(MemoryHold &hold, std::uint64_t bytes);
     /// Ends bodies that have stalled while others wait for room.
     void endStalled();
+    /// Ends what has stalled for the longest time; false if nothing has.
+    bool endLongestStalled();
     /// Counts a refusal that a hold's owner has decided.
     void recordRefusal(MemoryRefusal refusal, std::uint64_t bytes);
 
@@ -201,6 +222,7 @@
     [[nodiscard]] bool fits(const MemoryHold &hold, std::uint64_t more) const;
     [[nodiscard]] bool clientFits(const MemoryHold &hold, std::uint64_t more) const;
     [[nodiscard]] bool hasStalled(const MemoryHold &hold) const;
+    [[nodiscard]] bool mayEndFor(const MemoryHold &hold, std::uint64_t bytes) const;
     [[nodiscard]] MemoryHold *victimFor(const MemoryHold &hold, std::uint64_t bytes);
     void end(MemoryHold &hold, MemoryRefusal reason);
     void admitWaiting();
--- a/src/http/memory_account_test.cc
+++ b/src/http/memory_account_test.cc
@@ -192,6 +192,74 @@
     cr_assert(wait.admitted());
 }
 
+// What a request holds is taken before its header is read: one that doesn't come makes room for others.
+Test(memory_account, a_header_that_does_not_come_ends_when_others_need_the_room)
+{
+    Load load(4 * kRequestOverheadBytes);
+    for (int i = 0; i < 4; ++i) {
+        cr_assert(load.add().grow(kRequestOverheadBytes));
+    }
+    cr_assert(!load.add().grow(kRequestOverheadBytes) && load.ends == 0);
+    load.clock.advance(1s);
+    cr_assert(load.add().grow(kRequestOverheadBytes) && load.ends == 1);
+    cr_assert(load.observer.refusals.back() == MemoryRefusal::Stalled);
+}
+
+// A body that waits for room is not read, so that its lack of progress is not its sender's.
+Test(memory_account, a_body_that_waits_for_room_has_not_stalled)
+{
+    Load load;
+    while (load.account.admit(load.add(), kBody) == Admission::Admitted) { }
+    for (const auto &hold : load.holds) {
+        hold->setReceived();
+    }
+    auto &waiting = load.add();
+    cr_assert(waiting.grow(kRequestOverheadBytes));
+    cr_assert(load.account.admit(waiting, kBody) == Admission::Wait);
+    const MemoryWait wait(load.account, waiting, kBody, [] {});
+    load.clock.advance(2s);
+    cr_assert(!load.account.endLongestStalled() && !waiting.ended());
+}
+
+// Sound streams are never cut for others, however long they are silent; events without end are, and
+// streams that their callers don't read.
+Test(memory_account, only_large_or_unread_streams_end_for_others)
+{
+    Load load(20 * kRequestOverheadBytes);
+    auto &sound = load.add(MemoryUse::Stream);
+    cr_assert(sound.resize(2 * kRequestOverheadBytes));
+    auto &unread = load.add(MemoryUse::Stream);
+    cr_assert(unread.resize(2 * kRequestOverheadBytes));
+    unread.setBlocked(true);
+    auto &large = load.add(MemoryUse::Stream);
+    cr_assert(large.resize(10 * kRequestOverheadBytes));
+    for (int i = 0; i < 2; ++i) {
+        cr_assert(load.add().grow(3 * kRequestOverheadBytes));
+        load.holds.back()->setReceived();
+    }
+    load.clock.advance(1s);
+    large.recordProgress();
+    cr_assert(load.add().grow(kRequestOverheadBytes));
+    load.holds.back()->setReceived();
+    cr_assert(unread.ended() && unread.reason() == MemoryRefusal::Stalled && !large.ended());
+    load.clock.advance(1min);
+    cr_assert(load.add().grow(2 * kRequestOverheadBytes));
+    cr_assert(large.ended() && large.reason() == MemoryRefusal::Largest && !sound.ended());
+    cr_assert(load.ends == 2);
+}
+
+// At the limit of connections the one that has made no progress for the longest time goes.
+Test(memory_account, what_has_stalled_for_the_longest_time_ends_for_a_new_connection)
+{
+    Load load;
+    cr_assert(load.add().grow(1000));
+    load.clock.advance(1s);
+    cr_assert(load.add().grow(1000));
+    cr_assert(load.account.endLongestStalled());
+    cr_assert(load.holds[0]->ended() && !load.holds[1]->ended());
+    cr_assert(!load.account.endLongestStalled());
+}
+
 // The bound, whatever callers and endpoints do.
 Test(memory_account, never_holds_more_than_its_budget)
 {
@@ -200,15 +268,19 @@
         std::vector<std::unique_ptr<MemoryWait>> waits;
         for (int steps = *rc::gen::inRange(1, 100); steps > 0; --steps) {
             const auto bytes = *rc::gen::inRange<std::uint64_t>(1, kBody);
-            auto &hold = load.add(*rc::gen::element(MemoryUse::Body, MemoryUse::Answer));
+            auto &hold = load.add(*rc::gen::element(MemoryUse::Body, MemoryUse::Answer, MemoryUse::Stream));
             load.clock.advance(*rc::gen::element(0ms, 300ms));
-            const int kind = *rc::gen::inRange(0, 4);
+            const int kind = *rc::gen::inRange(0, 6);
             if (kind == 0) {
                 static_cast<void>(hold.grow(bytes));
             } else if (kind == 1 && load.account.admit(hold, bytes) == Admission::Wait) {
                 waits.push_back(std::make_unique<MemoryWait>(load.account, hold, bytes, [] {}));
             } else if (kind == 2) {
                 load.account.endStalled();
+            } else if (kind == 3) {
+                static_cast<void>(load.holds.front()->resize(bytes));
+            } else if (kind == 4) {
+                load.holds.front()->setBlocked(true);
             } else {
                 waits.clear();
                 load.holds.erase(load.holds.begin());
--- a/src/gateway/memory_metrics.cc
+++ b/src/http/memory_metrics.cc
@@ -1,10 +1,10 @@
-#include "gateway/memory_metrics.h"
+#include "http/memory_metrics.h"
 
 #include "base/log.h"
 
 #include <chrono>
 
-namespace mimosahub
+namespace mimosahub::http
 {
 
 namespace
@@ -14,19 +14,22 @@
 
 } // namespace
 
-MemoryMetrics::MemoryMetrics(const Clock &clock, MetricRegistry &registry, std::uint64_t budget)
+MemoryMetrics::MemoryMetrics(const Clock &clock, MetricRegistry &registry, std::string account, std::uint64_t budget)
     : m_clock(clock),
+      m_account(std::move(account)),
       m_budget(budget),
-      m_heldBytes(
-          registry.gauge("mimosahub_buffer_bytes", "Bytes that bodies of requests and answers hold at the moment."))
+      m_heldBytes(registry.gauge("mimosahub_buffer_bytes", "Bytes that an account of memory holds at the moment.",
+                                 {{"account", m_account}}))
 {
-    registry.gauge("mimosahub_buffer_budget_bytes", "Most bytes that bodies of requests and answers may hold.")
+    registry
+        .gauge("mimosahub_buffer_budget_bytes", "Most bytes that an account of memory may hold.",
+               {{"account", m_account}})
         .set(static_cast<double>(budget));
     for (std::size_t i = 0; i < m_kinds.size(); ++i) {
-        const auto name = http::memoryRefusalName(static_cast<http::MemoryRefusal>(i));
+        const auto name = memoryRefusalName(static_cast<MemoryRefusal>(i));
         m_kinds.at(i).count = &registry.counter("mimosahub_buffer_refusals_total",
-                                                "Requests refused and answers given up to bound the memory, by reason.",
-                                                {{"reason", std::string(name)}});
+                                                "What was refused or given up to bound the memory, by reason.",
+                                                {{"account", m_account}, {"reason", std::string(name)}});
     }
 }
 
@@ -36,7 +39,7 @@
     m_heldBytes.set(static_cast<double>(bytes));
 }
 
-void MemoryMetrics::refused(http::MemoryRefusal refusal, std::uint64_t bytes)
+void MemoryMetrics::refused(MemoryRefusal refusal, std::uint64_t bytes)
 {
     auto &kind = m_kinds.at(static_cast<std::size_t>(refusal));
     kind.count->add();
@@ -46,7 +49,8 @@
         return;
     }
     logEvent(LogLevel::Warning, "memory-refused")
-        .with("reason", http::memoryRefusalName(refusal))
+        .with("account", std::string_view(m_account))
+        .with("reason", memoryRefusalName(refusal))
         .with("bytes", bytes)
         .with("held", m_held)
         .with("budget", m_budget)
@@ -56,4 +60,4 @@
     kind.unlogged = 0;
 }
 
-} // namespace mimosahub
+} // namespace mimosahub::http
--- a/src/gateway/memory_metrics.h
+++ b/src/http/memory_metrics.h
@@ -4,20 +4,21 @@
 #include "http/memory_account.h"
 
 #include <array>
+#include <string>
 
-namespace mimosahub
+namespace mimosahub::http
 {
 
 /// Metrics and log lines of a memory account. The first refusal of each kind is logged, later ones
-/// at most once in ten seconds, with their number. Traffic thread only.
-class MemoryMetrics : public http::MemoryObserver
+/// at most once in ten seconds, with their number. On the account's thread only.
+class MemoryMetrics : public MemoryObserver
 {
 public:
-    /// \a clock and \a registry must outlive this object.
-    MemoryMetrics(const Clock &clock, MetricRegistry &registry, std::uint64_t budget);
+    /// \a clock and \a registry must outlive this object. \a account names the account, in a label.
+    MemoryMetrics(const Clock &clock, MetricRegistry &registry, std::string account, std::uint64_t budget);
 
     void heldChanged(std::uint64_t bytes) override;
-    void refused(http::MemoryRefusal refusal, std::uint64_t bytes) override;
+    void refused(MemoryRefusal refusal, std::uint64_t bytes) override;
 
 private:
     struct Kind {
@@ -28,10 +29,11 @@
     };
 
     const Clock &m_clock;
+    std::string m_account;
     std::uint64_t m_budget;
     std::uint64_t m_held = 0;
     Gauge &m_heldBytes;
-    std::array<Kind, http::kMemoryRefusals> m_kinds;
+    std::array<Kind, kMemoryRefusals> m_kinds;
 };
 
-} // namespace mimosahub
+} // namespace mimosahub::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "http/idle_watch.h"
+#include "http/socket_buffers.h"
 #include "http/socket_state.h"
 #include "mimosahub/error.h"
 #include "mimosahub/outcome.h"
@@ -46,6 +47,7 @@
 /// its request before it reads would see that instead of the answer.
 constexpr auto kLingerTime = std::chrono::seconds(2);
 constexpr std::size_t kLingerReadSize = 16384;
+constexpr int kMostDroppedReads = 4; ///< Of what has come already, where there is no memory to linger.
 
 /// Status of an answer to a request whose handler failed.
 constexpr int kInternalError = 500;
@@ -97,6 +99,19 @@
     }
 }
 
+/// Drops what has come already, so that a caller who sent all of a small request gets the answer to it.
+void dropWaiting(beast::tcp_stream &stream)
+{
+    auto &socket = stream.socket();
+    boost::system::error_code ec;
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+    socket.non_blocking(true, ec);
+    std::array<char, kLingerReadSize> dropped;
+    for (int i = 0; i < kMostDroppedReads && !ec; ++i) {
+        socket.read_some(asio::buffer(dropped), ec);
+    }
+}
+
 /// Whether \a request has a body whose end can't be told: codings of its transfer of which the
 /// last isn't "chunked", several such headers, or a length beside them (RFC 9112, 6.1 and 6.3).
 /// What would follow its header would be taken for a further request.
@@ -112,13 +127,13 @@
         || !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(text), "chunked");
 }
 
-/// Frees what was read of a request that is refused: its connection stays for kLingerTime.
-void drop(BodyReader::Parser &parser, beast::flat_buffer &buffer, MemoryHold &hold)
+/// Frees what was read of a request that is refused. Its connection stays for kLingerTime and holds \a kept bytes.
+void drop(BodyReader::Parser &parser, beast::flat_buffer &buffer, MemoryHold &hold, std::uint64_t kept)
 {
     std::string().swap(parser.get().body());
     buffer.clear();
     buffer.shrink_to_fit();
-    hold.shrinkTo(0);
+    hold.shrinkTo(kept);
 }
 
 Reason unreadableReason(boost::system::error_code ec)
@@ -138,8 +153,9 @@
 }
 
 /// Binds with SO_REUSEPORT, so that each traffic thread has its own queue of connections.
-/// A size of the receive buffers other than 0 holds for the connections that are accepted.
-boost::system::error_code openAcceptor(tcp::acceptor &acceptor, const tcp::endpoint &endpoint, int receiveBufferBytes)
+/// Sizes of buffers other than 0 hold for the connections that are accepted.
+boost::system::error_code openAcceptor(tcp::acceptor &acceptor, const tcp::endpoint &endpoint,
+                                       const ServerOptions &options)
 {
     boost::system::error_code ec;
     acceptor.open(endpoint.protocol(), ec);
@@ -149,8 +165,11 @@
     acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
     using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
     acceptor.set_option(ReusePort(true), ec);
-    if (receiveBufferBytes > 0) {
-        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ec);
+    if (options.receiveBufferBytes > 0) {
+        acceptor.set_option(asio::socket_base::receive_buffer_size(options.receiveBufferBytes), ec);
+    }
+    if (options.sendBufferBytes > 0) {
+        acceptor.set_option(asio::socket_base::send_buffer_size(options.sendBufferBytes), ec);
     }
     acceptor.bind(endpoint, ec);
     if (ec) {
@@ -162,6 +181,31 @@
 
 } // namespace
 
+/// One caller's connection.
+struct Server::Connection {
+    explicit Connection(tcp::socket socket) : stream(std::move(socket))
+    {
+    }
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::uint64_t windowBytes = 0; ///< That its sender may send ahead since it had a large body.
+};
+
+struct Server::Unfinished {
+    Connection &connection;
+    const BodyReader::Parser &parser;
+    const MemoryHold &hold;
+};
+
+ServerOptions ServerOptions::forOperators()
+{
+    ServerOptions options;
+    options.maxConnections = 64;
+    options.receiveBufferBytes = kCallerReceiveBytes;
+    options.sendBufferBytes = kCallerSendBytes;
+    return options;
+}
+
 Exchange::Exchange(beast::tcp_stream &stream, Request request, Duration writeTimeout, const std::atomic<bool> &draining)
     : m_stream(stream),
       m_request(std::move(request)),
@@ -234,6 +278,7 @@
       m_options(options),
       m_handler(std::move(handler)),
       m_acceptor(io),
+      m_silent(std::make_unique<IdleConnections>()),
       m_idle(std::make_unique<IdleConnections>())
 {
 }
@@ -249,7 +294,7 @@
         return listenError(address, ec);
     }
     std::shared_ptr<Server> server(new Server(io, options, std::move(handler)));
-    ec = openAcceptor(server->m_acceptor, tcp::endpoint(ip, address.port), options.receiveBufferBytes);
+    ec = openAcceptor(server->m_acceptor, tcp::endpoint(ip, address.port), options);
     if (ec) {
         return listenError(address, ec);
     }
@@ -298,7 +343,7 @@
         }
         if (ec) {
             for (int i = 0; ec == asio::error::no_descriptors && i < kFreedForAccept; ++i) {
-                giveUpIdle();
+                giveUpOne();
             }
             asio::steady_timer timer(m_io, kAcceptPause);
             co_await timer.async_wait(kTuple);
@@ -308,9 +353,9 @@
     }
 }
 
-bool Server::giveUpIdle()
+bool Server::giveUpOne()
 {
-    const bool ended = m_idle->endLongest();
+    const bool ended = m_silent->endLongest() || m_idle->endLongest() || m_memory->endLongestStalled();
     if (ended && m_counters.givenUp++ == 0) {
         logEvent(LogLevel::Warning, "connection-limit")
             .with("open", m_counters.open.load())
@@ -321,7 +366,7 @@
 
 void Server::startServing(tcp::socket socket)
 {
-    if (m_counters.open >= m_options.maxConnections && !giveUpIdle()) {
+    if (m_counters.open >= m_options.maxConnections && !giveUpOne()) {
         ++m_counters.refusedConnections;
         return;
     }
@@ -342,55 +387,48 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    const auto idle = std::make_shared<IdleWatch>(stream.socket(), m_options.idleTimeout);
-    bool came = co_await readFirst(stream, buffer);
+    Connection connection(std::move(socket));
+    const auto silent = std::make_shared<IdleWatch>(connection.stream.socket(), m_options.messageTimeout);
+    const auto idle = std::make_shared<IdleWatch>(connection.stream.socket(), m_options.idleTimeout);
+    bool came = co_await readFirstBytes(connection, *m_silent, *silent);
     while (came) {
-        if (!co_await serveOne(stream, buffer)) {
+        if (!co_await serveOne(connection)) {
             break;
         }
         busy.reset();
-        came = co_await readNext(stream, buffer, *idle);
+        came = co_await readFirstBytes(connection, *m_idle, *idle);
         if (came) {
             busy = std::make_unique<BusyMark>(m_counters.busy);
         }
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-}
-
-/// Waits for the first bytes of a new connection; false if none come.
-Awaitable<bool> Server::readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer)
-{
-    stream.expires_after(m_options.messageTimeout);
-    co_return co_await readSome(stream, buffer);
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
-/// Waits for the first bytes of a further request; false if none come.
-Awaitable<bool> Server::readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle)
+/// Waits among the connections \a waiting for the first bytes of a request; false if none come.
+Awaitable<bool> Server::readFirstBytes(Connection &connection, IdleConnections &waiting, IdleWatch &watch)
 {
-    if (buffer.size() > 0) {
+    if (connection.buffer.size() > 0) {
         co_return true;
     }
-    stream.expires_never();
-    const IdleConnections::Place place(*m_idle, idle);
-    idle.start();
-    bool came = co_await readSome(stream, buffer);
-    idle.stop();
+    connection.stream.expires_never();
+    const IdleConnections::Place place(waiting, watch);
+    watch.start();
+    bool came = co_await readSome(connection);
+    watch.stop();
     // Its next request may have begun to arrive since the wait was ended.
-    if (!came && idle.ended() && stateOf(stream.socket()) == SocketState::Readable) {
-        came = co_await readSome(stream, buffer);
+    if (!came && watch.ended() && stateOf(connection.stream.socket()) == SocketState::Readable) {
+        came = co_await readSome(connection);
     }
     co_return came;
 }
 
-Awaitable<bool> Server::readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+Awaitable<bool> Server::readSome(Connection &connection)
 {
-    const auto [ec, n] = co_await stream.async_read_some(buffer.prepare(kFirstReadSize), kTuple);
+    const auto [ec, n] = co_await connection.stream.async_read_some(connection.buffer.prepare(kFirstReadSize), kTuple);
     if (ec) {
         co_return false;
     }
-    buffer.commit(n);
+    connection.buffer.commit(n);
     co_return true;
 }
 
@@ -414,57 +452,85 @@
 }
 
 /// Serves one request; the result says whether the connection goes on.
-Awaitable<bool> Server::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+Awaitable<bool> Server::serveOne(Connection &connection)
 {
-    beast::http::request_parser<beast::http::string_body> parser;
+    auto &stream = connection.stream;
+    BodyReader::Parser parser;
     parser.header_limit(m_options.maxHeaderBytes);
     parser.body_limit(m_options.maxBodyBytes);
+    // What is ended in favour of others is told so: the end of the read wakes its reader.
+    MemoryHold hold(*m_memory, MemoryUse::Body, [&stream] { stream.cancel(); });
+    if (!hold.grow(kRequestOverheadBytes + connection.windowBytes)) {
+        boost::system::error_code ec;
+        parser.put(connection.buffer.data(), ec); // For the request's id.
+        co_await reject({connection, parser, hold}, memoryRefusal(MemoryRefusal::NoRoom));
+        co_return false;
+    }
+    if (!co_await readRequest(connection, parser, hold)) {
+        co_return false;
+    }
+    stream.expires_never();
+    Exchange exchange(stream, parser.release(), m_options.messageTimeout, m_draining);
+    co_await (runHandler(exchange) || waitForClose(stream));
+    co_return exchange.answered() && exchange.keepAlive();
+}
+
+/// Reads a whole request, or answers one that can't be read and gives false.
+Awaitable<bool> Server::readRequest(Connection &connection, BodyReader::Parser &parser, MemoryHold &hold)
+{
+    auto &stream = connection.stream;
+    auto &buffer = connection.buffer;
     buffer.max_size(m_options.maxHeaderBytes + kMaxFramingBytes);
     stream.expires_after(m_options.headerTimeout);
     const auto [headerError, headerBytes] = co_await beast::http::async_read_header(stream, buffer, parser, kTuple);
     auto ec = headerError;
-    if (!ec && hasUnknownEnd(parser.get())) {
+    std::optional<Refusal> refusal;
+    if (hold.ended()) {
+        refusal = memoryRefusal(hold.reason());
+    } else if (!ec && hasUnknownEnd(parser.get())) {
         ec = beast::http::make_error_code(beast::http::error::bad_transfer_encoding);
-    }
-    // Bodies that are ended in favour of others are told so: the end of the read wakes their reader.
-    MemoryHold hold(*m_memory, MemoryUse::Body, [&stream] { stream.cancel(); });
-    if (!ec) {
-        const BodyReaderOptions options{{.total = m_options.messageTimeout, .pause = m_options.bodyPause},
-                                        m_options.admissionWait};
+    } else if (!ec) {
+        const BodyReaderOptions options{{.total = m_options.bodyTimeout, .pause = m_options.bodyPause},
+                                        m_options.admissionWait,
+                                        connection.windowBytes > 0 ? 0 : m_options.bodyReceiveBufferBytes};
         BodyReader body(stream, buffer, parser, *m_memory, hold, m_clock, options);
         ec = co_await body.read();
-        if (body.refusal()) {
-            drop(parser, buffer, hold);
-            co_await reject(stream, *body.refusal());
-            co_return false;
-        }
+        connection.windowBytes += body.windowBytes();
+        refusal = body.refusal();
     }
-    if (ec) {
-        drop(parser, buffer, hold);
-        co_await rejectUnreadable(stream, ec);
-        co_return false;
+    if (!ec && !refusal) {
+        co_return true;
     }
-    stream.expires_never();
-    Exchange exchange(stream, parser.release(), m_options.messageTimeout, m_draining);
-    co_await (runHandler(exchange) || waitForClose(stream));
-    co_return exchange.answered() && exchange.keepAlive();
+    drop(parser, buffer, hold, kRequestOverheadBytes + connection.windowBytes);
+    const Unfinished request{connection, parser, hold};
+    if (refusal) {
+        co_await reject(request, *refusal);
+    } else {
+        co_await rejectUnreadable(request, ec);
+    }
+    co_return false;
 }
 
 /// Answers a request that could not be read, if the caller may still be there.
-Awaitable<void> Server::rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec)
+Awaitable<void> Server::rejectUnreadable(const Unfinished &request, boost::system::error_code ec)
 {
     if (ec == beast::http::error::end_of_stream || ec == asio::error::operation_aborted
         || ec == asio::error::connection_reset) {
         co_return;
     }
     ++m_counters.malformed;
-    co_await reject(stream, makeRefusal(unreadableReason(ec), ec.message(), Step::Parse));
+    co_await reject(request, makeRefusal(unreadableReason(ec), ec.message(), Step::Parse));
 }
 
 /// Answers a request of which not all was read, and ends its connection.
-Awaitable<void> Server::reject(beast::tcp_stream &stream, Refusal refusal)
+Awaitable<void> Server::reject(const Unfinished &request, Refusal refusal)
 {
-    auto response = makeResponse(httpStatus(refusal), kJsonType, refusalBody(refusal, ""));
+    const auto idField = toBeast(m_options.requestIdField);
+    const std::string id(idField.empty() ? std::string_view() : fromBeast(request.parser.get()[idField]));
+    auto response = makeResponse(httpStatus(refusal), kJsonType, refusalBody(refusal, id));
+    if (!id.empty()) {
+        response.set(idField, id);
+    }
     response.set(toBeast(kOutcomeHeader), toBeast(outcomeName(refusal.outcome)));
     if (refusal.retryAfter) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter).count();
@@ -472,10 +538,16 @@
     }
     response.keep_alive(false);
     response.prepare_payload();
+    auto &stream = request.connection.stream;
     stream.expires_after(m_options.messageTimeout);
     const auto [error, n] = co_await beast::http::async_write(stream, response, kTuple);
-    if (!error) {
+    if (error) {
+        co_return;
+    }
+    if (request.hold.bytes() > 0) {
         co_await linger(stream);
+    } else {
+        dropWaiting(stream);
     }
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -24,20 +24,27 @@
     std::size_t maxConnections = 4096; ///< At the limit, a new one replaces the longest-idle one.
     Duration idleTimeout = std::chrono::seconds(60); ///< Between requests of one connection.
     Duration headerTimeout = std::chrono::seconds(10); ///< From a request's first byte to the end of its header.
-    /// For the first byte of a new connection, reading one request, or writing one
-    /// piece of an answer.
+    /// For the first byte of a new connection, or writing one piece of an answer.
     Duration messageTimeout = std::chrono::seconds(10);
+    Duration bodyTimeout = std::chrono::seconds(10); ///< For a whole body.
     Duration bodyPause = std::chrono::seconds(5); ///< Longest time without a byte within a body.
     Duration admissionWait = std::chrono::seconds(2); ///< For which a large body waits for memory.
     /// Of the kernel, for bytes that are not read yet; 0: the system's, which grows with the sender's rate.
     int receiveBufferBytes = 0;
+    int bodyReceiveBufferBytes = 0; ///< The same once a large body is admitted; 0: no more than before.
+    int sendBufferBytes = 0; ///< Of the kernel, for bytes on their way; 0: the system's, which grows.
+    /// Field by which callers name their requests; refusals repeat it if it has come. Must outlive the server.
+    std::string_view requestIdField = {};
+
+    /// Limits of a port for operators, metrics or the balancer, which few clients use at once.
+    [[nodiscard]] static ServerOptions forOperators();
 };
 
 /// Counters of a server, readable from any thread.
 struct ServerCounters {
     std::atomic<std::uint64_t> accepted{0};
     std::atomic<std::uint64_t> refusedConnections{0}; ///< Above maxConnections, with no idle one to close.
-    std::atomic<std::uint64_t> givenUp{0}; ///< Idle connections that were closed for a new one.
+    std::atomic<std::uint64_t> givenUp{0}; ///< Connections without a whole request that were closed for a new one.
     std::atomic<std::uint64_t> malformed{0}; ///< Requests that could not be read.
     std::atomic<std::uint64_t> failed{0}; ///< Requests whose handler ended by an exception.
     std::atomic<std::uint64_t> open{0};
@@ -85,6 +92,12 @@
     {
         m_keepAlive = false;
     }
+    /// Gives up what is being written, and drops the connection.
+    void cut()
+    {
+        m_keepAlive = false;
+        m_stream.cancel();
+    }
 
 private:
     absl::Status checkWrite(boost::system::error_code ec);
@@ -165,17 +178,21 @@
     Awaitable<void> acceptLoop();
     void startServing(asio::ip::tcp::socket socket);
     Awaitable<void> serve(asio::ip::tcp::socket socket, std::unique_ptr<BusyMark> busy);
-    static Awaitable<bool> readSome(beast::tcp_stream &stream, beast::flat_buffer &buffer);
-    Awaitable<bool> readFirst(beast::tcp_stream &stream, beast::flat_buffer &buffer);
-    /// Closes the longest-idle connection; false if none is idle.
-    bool giveUpIdle();
-    Awaitable<bool> readNext(beast::tcp_stream &stream, beast::flat_buffer &buffer, IdleWatch &idle);
+    struct Connection;
+
+    static Awaitable<bool> readSome(Connection &connection);
+    static Awaitable<bool> readFirstBytes(Connection &connection, IdleConnections &waiting, IdleWatch &watch);
+    /// Closes a connection that waits for a request, or for the rest of one, in favour of a new one;
+    /// false if there is none.
+    bool giveUpOne();
     Awaitable<void> runHandler(Exchange &exchange);
-    Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
-    Awaitable<std::optional<Refusal>> readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer,
-                                               BodyReader::Parser &parser, MemoryHold &hold);
-    Awaitable<void> rejectUnreadable(beast::tcp_stream &stream, boost::system::error_code ec);
-    Awaitable<void> reject(beast::tcp_stream &stream, Refusal refusal);
+    Awaitable<bool> serveOne(Connection &connection);
+    Awaitable<bool> readRequest(Connection &connection, BodyReader::Parser &parser, MemoryHold &hold);
+    /// A request that was not received whole.
+    struct Unfinished;
+
+    Awaitable<void> rejectUnreadable(const Unfinished &request, boost::system::error_code ec);
+    Awaitable<void> reject(const Unfinished &request, Refusal refusal);
 
     asio::io_context &m_io;
     ServerOptions m_options;
@@ -185,6 +202,7 @@
     SystemClock m_clock;
     MemoryAccount m_unlimited{m_clock, {}};
     MemoryAccount *m_memory = &m_unlimited;
+    std::unique_ptr<IdleConnections> m_silent; ///< New ones of which no byte has come.
     std::unique_ptr<IdleConnections> m_idle;
     std::atomic<bool> m_draining{false};
 };
