Hold streams by the memory account

What callers saw: requests at sound endpoints broke off when a daemon passed its memory limit under streams whose event didn't end, or that nobody read.

Cause: each stream held up to 1 MiB of an unfinished event and what its caller had not taken, in no account.

Change: AnswerMemory holds a request's answer, whole or streamed. A stream takes 48 KiB before anything is sent for it, else it is refused as not run; then room for the event that has not ended and for what is being written. If others need the room, a stream whose caller takes nothing for 1 s is cut, or one above 128 KiB; a sound silent one never is. An answer that was given up for memory counts as such (loss "no-memory"): it says nothing against its endpoint, its version or its content.

--- a/src/forward/retry_obstacle.h
+++ b/src/forward/retry_obstacle.h
@@ -56,6 +56,7 @@
     BrokenOff, ///< The endpoint closed the connection or sent something invalid.
     Silence, ///< The endpoint sent nothing for as long as was waited.
     CallerGone, ///< The caller does not read any more.
+    NoMemory, ///< This daemon had no memory for it.
     InternalError, ///< The handler of the request failed.
 };
 
@@ -71,6 +72,8 @@
         return "silence";
     case SendLoss::CallerGone:
         return "caller-gone";
+    case SendLoss::NoMemory:
+        return "no-memory";
     case SendLoss::InternalError:
         return "internal-error";
     }
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -45,9 +45,18 @@
 
 SendLoss lossOf(const absl::Status &status)
 {
+    if (absl::IsResourceExhausted(status)) {
+        return SendLoss::NoMemory;
+    }
     return absl::IsDeadlineExceeded(status) ? SendLoss::Silence : SendLoss::BrokenOff;
 }
 
+/// Whether \a loss, if any, may be the endpoint's doing.
+bool isEndpointsLoss(SendLoss loss)
+{
+    return loss != SendLoss::CallerGone && loss != SendLoss::NoMemory;
+}
+
 } // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardContext &context, http::Exchange &exchange)
@@ -56,7 +65,8 @@
       m_view(context.views.load()),
       m_arrival(context.clock.now()),
       m_giveUpAt(m_arrival),
-      m_uselessAt(m_arrival)
+      m_uselessAt(m_arrival),
+      m_memory(context.memory, exchange)
 {
     m_context.stop.open.insert(this);
 }
@@ -91,6 +101,10 @@
         co_await refuse(std::move(*refusal));
         co_return;
     }
+    if (auto refusal = reserveMemory()) {
+        co_await refuse(std::move(*refusal));
+        co_return;
+    }
     if (auto refusal = co_await checkQuarantine()) {
         co_await refuse(std::move(*refusal));
         co_return;
@@ -206,6 +220,15 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> ForwardedRequest::reserveMemory()
+{
+    if (!m_route->streaming || m_memory.reserveStream()) {
+        return std::nullopt;
+    }
+    return makeRefusal(Reason::Overloaded, "this daemon has no memory for a stream now", Step::Admit,
+                       m_context.random.jitter(kLongestRetryAfter, kRetrySpread));
+}
+
 Duration ForwardedRequest::left() const
 {
     return std::max(Duration::zero(), Duration(m_giveUpAt - m_context.clock.now()));
@@ -356,6 +379,7 @@
             if (m_streamBegun && report.result != SendResult::Answered) {
                 co_await refuse(refusalAfter(report));
             } else if (report.answer) {
+                const AnswerMemory::Writing writing(m_memory);
                 co_await m_exchange.answer(std::move(*report.answer));
                 logEnd("answered", report.why);
             } else {
@@ -490,7 +514,7 @@
         send->end(SendEnd::ServerError, std::nullopt);
         break;
     case SendResult::Lost:
-        send->end(report.loss == SendLoss::CallerGone ? SendEnd::Dropped : SendEnd::Lost, std::nullopt);
+        send->end(isEndpointsLoss(report.loss) ? SendEnd::Lost : SendEnd::Dropped, std::nullopt);
         break;
     case SendResult::Unreachable:
         send->end(SendEnd::Unreachable, std::nullopt);
@@ -505,7 +529,7 @@
 
 bool ForwardedRequest::speaksOfVersion(const SendReport &report) const
 {
-    return report.loss != SendLoss::CallerGone
+    return isEndpointsLoss(report.loss)
         && (report.loss != SendLoss::BrokenOff || m_context.quarantine.table().allAnswered(m_contents));
 }
 
@@ -528,19 +552,6 @@
     co_return status;
 }
 
-http::Awaitable<absl::StatusOr<std::string>> ForwardedRequest::readAnswer(EndpointSend &send)
-{
-    auto &connection = send.connection();
-    m_answerMemory.emplace(m_context.memory, http::MemoryUse::Answer, [&connection] { connection.close(); });
-    auto body = co_await connection.readRest(left(), kMaxAnswerBytes, &*m_answerMemory);
-    if (body.ok()) {
-        m_answerMemory->setReceived();
-    } else {
-        m_answerMemory.reset();
-    }
-    co_return body;
-}
-
 http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::exchangeWith(EndpointSend &send, http::Request request)
 {
     auto &connection = send.connection();
@@ -578,7 +589,7 @@
     if (m_route->streaming && events) {
         co_return co_await relay(send, *head, std::move(report));
     }
-    auto body = co_await readAnswer(send);
+    auto body = co_await m_memory.readWhole(connection, left(), kMaxAnswerBytes);
     if (!body.ok()) {
         report.loss = lossOf(body.status());
         report.why = std::string(body.status().message());
@@ -613,7 +624,7 @@
             break;
         }
         report.why = "an answer to another request came";
-        const auto body = co_await readAnswer(send);
+        const auto body = co_await m_memory.readWhole(connection, left(), kMaxAnswerBytes);
         if (!body.ok() || foreign == kMaxForeignAnswers) {
             connection.close();
             co_return std::nullopt;
@@ -720,15 +731,22 @@
 {
     // What an earlier endpoint had begun of an event comes again as a whole.
     m_events = EventSplitter(m_events.lastId());
+    const AnswerMemory::Reading reading(m_memory, send.connection());
     while (true) {
         const auto data = co_await readStream(send);
         if (!data.ok()) {
-            report.loss = lossOf(data.status());
+            report.loss = m_memory.streamEnded() ? SendLoss::NoMemory : lossOf(data.status());
             report.why = absl::StrCat("the stream broke after ", m_events.events(),
                                       " events: ", std::string(data.status().message()));
             co_return report;
         }
         const auto whole = data->empty() ? std::string() : m_events.take(*data);
+        if (!m_memory.holdEvents(whole.size() + m_events.rest().size())) {
+            report.loss = SendLoss::NoMemory;
+            report.why = absl::StrCat("there is no memory for the event after ", m_events.events(), " events");
+            send.connection().close();
+            co_return report;
+        }
         if (!whole.empty()) {
             noteFirstByte();
             m_stages->drop();
@@ -780,6 +798,7 @@
     if (events.empty()) {
         co_return true;
     }
+    const AnswerMemory::Writing writing(m_memory);
     co_return (co_await m_exchange.writeChunk(events)).ok();
 }
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -5,6 +5,7 @@
 #include "forward/event_splitter.h"
 #include "forward/retry_obstacle.h"
 #include "forward/send_policy.h"
+#include "gateway/answer_memory.h"
 #include "gateway/call_protocol.h"
 #include "gateway/crash_detector.h"
 #include "gateway/duty_reporter.h"
@@ -96,6 +97,8 @@
     };
 
     [[nodiscard]] std::optional<Refusal> resolve();
+    /// Takes the memory that a stream needs, before any of it is sent for.
+    [[nodiscard]] std::optional<Refusal> reserveMemory();
     /// Why the request may not be sent, since it holds content that is quarantined.
     http::Awaitable<std::optional<Refusal>> checkQuarantine();
     [[nodiscard]] std::optional<Refusal> quarantineRefusal() const;
@@ -111,8 +114,6 @@
     /// Sends \a call, which gets the body of the caller's request for that time.
     http::Awaitable<absl::Status> sendWithBody(http::ClientConnection &connection, http::Request call);
     http::Awaitable<SendReport> exchangeWith(EndpointSend &send, http::Request request);
-    /// Reads the rest of a whole answer, of which m_answerMemory keeps account.
-    http::Awaitable<absl::StatusOr<std::string>> readAnswer(EndpointSend &send);
     /// Reads the header of the answer to a send, and passes over answers to other requests. Absent
     /// if none came that is surely this send's; \a report says why.
     http::Awaitable<std::optional<http::Response>> receiveHead(EndpointSend &send, SendReport &report);
@@ -176,7 +177,7 @@
     EndpointId m_endpoint; ///< Of the last send.
     std::set<Address> m_refusedAt; ///< Where endpoints refused it.
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
-    std::optional<http::MemoryHold> m_answerMemory; ///< Of the last whole answer that was read.
+    AnswerMemory m_memory;
     bool m_sending = false; ///< A send has begun whose end m_sends doesn't know yet.
     bool m_logged = false;
     bool m_usageCounted = false;
