Bound the memory of the ports for readiness and metrics

What operators saw: 200 clients with unfinished bodies of 1 MiB at either port took a daemon of 64 MB to 231 MB.

Cause: both servers ran with default limits, 4,096 connections of 1 MiB, and accounted against an unlimited budget.

Change: one account for both, with a share of the memory, 64 connections each, and small socket buffers. The metrics page shows connections of callers, also those given up, as the own interface does.

--- a/src/daemon/process_metrics.cc
+++ b/src/daemon/process_metrics.cc
@@ -65,6 +65,8 @@
         &m_registry.counter("mimosahub_connections_accepted_total", "Connections that were accepted.", labels);
     role.refused = &m_registry.counter("mimosahub_connections_refused_total",
                                        "Connections that were closed at once because too many were open.", labels);
+    role.givenUp = &m_registry.counter("mimosahub_connections_given_up_total",
+                                       "Connections without a whole request that were closed for a new one.", labels);
     role.malformed =
         &m_registry.counter("mimosahub_requests_malformed_total", "Requests that could not be read.", labels);
     role.open = &m_registry.gauge("mimosahub_connections_open", "Connections that are open now.", labels);
@@ -89,16 +91,19 @@
     for (const auto &role : m_roles) {
         std::uint64_t accepted = 0;
         std::uint64_t refused = 0;
+        std::uint64_t givenUp = 0;
         std::uint64_t malformed = 0;
         std::uint64_t open = 0;
         for (const auto *server : role.servers) {
             accepted += server->accepted;
             refused += server->refusedConnections;
+            givenUp += server->givenUp;
             malformed += server->malformed;
             open += server->open;
         }
         raiseTo(*role.accepted, accepted);
         raiseTo(*role.refused, refused);
+        raiseTo(*role.givenUp, givenUp);
         raiseTo(*role.malformed, malformed);
         role.open->set(static_cast<double>(open));
     }
--- a/src/daemon/process_metrics.h
+++ b/src/daemon/process_metrics.h
@@ -30,6 +30,7 @@
         std::vector<const http::ServerCounters *> servers;
         Counter *accepted = nullptr;
         Counter *refused = nullptr;
+        Counter *givenUp = nullptr;
         Counter *malformed = nullptr;
         Gauge *open = nullptr;
     };
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -6,6 +6,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "daemon/process_metrics.h"
 #include "gateway/gateway_traffic.h"
 
 #include <absl/strings/str_join.h>
@@ -13,7 +14,6 @@
 #include <boost/json.hpp>
 
 #include <iostream>
-#include <malloc.h>
 
 namespace mimosahub
 {
@@ -35,9 +35,18 @@
 public:
     /// All arguments must outlive the servers.
     SideServers(boost::asio::io_context &io, const Clock &clock, MetricRegistry &metrics, GatewayTraffic &traffic,
-                const DutyBoard &duties)
-        : m_io(io), m_clock(clock), m_metrics(metrics), m_traffic(traffic), m_duties(duties)
+                const DutyBoard &duties, std::uint64_t memoryBytes)
+        : m_io(io),
+          m_clock(clock),
+          m_metrics(metrics),
+          m_traffic(traffic),
+          m_duties(duties),
+          m_process(metrics),
+          m_memoryMetrics(clock, metrics, "operators", memoryBytes),
+          m_memory(clock, {.budget = memoryBytes})
     {
+        m_memory.setObserver(&m_memoryMetrics);
+        m_process.addServer("callers", traffic.serverCounters());
     }
 
     absl::Status listen(const GatewayListenSettings &settings, std::function<bool()> ready)
@@ -49,9 +58,7 @@
         if (auto status = add(settings.readiness, readiness); !status.ok()) {
             return status;
         }
-        auto &droppedLines = m_metrics.gauge("mimosahub_log_lines_dropped",
-                                             "Log lines dropped since the start since nobody read them in time.");
-        const auto metrics = [this, &droppedLines](http::Exchange &exchange) -> http::Awaitable<void> {
+        const auto metrics = [this](http::Exchange &exchange) -> http::Awaitable<void> {
             const auto path = http::pathOf(http::fromBeast(exchange.request().target()));
             if (path == "/quarantines") {
                 co_await exchange.answer(
@@ -66,7 +73,7 @@
                 co_await exchange.answer(endQuarantine(exchange.request()));
                 co_return;
             }
-            droppedLines.set(static_cast<double>(LogOutput::dropped()));
+            m_process.update();
             co_await exchange.answer(http::makeResponse(200, "text/plain; version=0.0.4", m_metrics.render()));
         };
         return add(settings.metrics, metrics);
@@ -94,8 +101,9 @@
 
     absl::Status add(const Address &address, http::Handler handler)
     {
-        auto server = http::Server::listen(m_io, address, {}, std::move(handler));
+        auto server = http::Server::listen(m_io, address, http::ServerOptions::forOperators(), std::move(handler));
         if (server.ok()) {
+            (*server)->setMemory(m_memory);
             (*server)->start();
             m_servers.push_back(*server);
         }
@@ -107,18 +115,12 @@
     MetricRegistry &m_metrics;
     GatewayTraffic &m_traffic;
     const DutyBoard &m_duties;
+    ProcessMetrics m_process;
+    http::MemoryMetrics m_memoryMetrics;
+    http::MemoryAccount m_memory;
     std::vector<std::shared_ptr<http::Server>> m_servers;
 };
 
-/// Makes the heap give large blocks back to the system as soon as they are freed. By default it
-/// raises this threshold up to 32 MiB, and the memory of bodies stays with the process.
-void boundHeap()
-{
-    constexpr int kLargeBlock = 256 * 1024;
-    mallopt(M_MMAP_THRESHOLD, kLargeBlock);
-    mallopt(M_TRIM_THRESHOLD, kLargeBlock);
-}
-
 int fail(const absl::Status &status)
 {
     logEvent(LogLevel::Error, "start-failed").with(status);
@@ -186,7 +188,7 @@
 
 int runGateway(const GatewaySettings &settings, const GatewayAdapter &adapter)
 {
-    boundHeap();
+    http::boundHeap();
     Signals signals;
     SystemClock clock;
     const auto output = LogOutput::open(std::cout, settings.log.level, settings.log.format, clock);
@@ -214,7 +216,7 @@
              control.claimTrial(quarantine, std::move(onResult));
          }});
     std::atomic<bool> serving{true};
-    SideServers sides(control.io(), clock, metrics, **traffic, duties);
+    SideServers sides(control.io(), clock, metrics, **traffic, duties, settings.limits.memoryShares().operators);
     if (const auto status = sides.listen(settings.listen, [&] { return serving && control.caughtUp(); });
         !status.ok()) {
         return fail(status);
