Take memory for messages of other daemons as they come

What operators saw: 300 connections to the port for daemons, each with a message of 1 MiB short of its end, took a daemon of 64 MB to 333 MB.

Cause: a message's length word took its memory at once, for up to 1,024 connections and 60 s, and nothing bounded the sum.

Change: a message takes room as it comes, and its unpacked content before it is handled, from an account of its own; the rest of a message must come within 5 s of its length. At the limit of connections a new one replaces the oldest on which no whole message has come, so that connections without messages don't keep daemons out.

--- a/src/gateway/stage_router.cc
+++ b/src/gateway/stage_router.cc
@@ -35,6 +35,7 @@
     options.callTimeout = std::chrono::milliseconds(500);
     options.outstandingCalls = 10'000;
     options.maxConnections = DescriptorShares::of(settings.limits.descriptors).peers;
+    options.memoryBytes = settings.limits.memoryShares().peers;
     return options;
 }
 
@@ -109,9 +110,10 @@
                                                                  TableRelay &endpointTable, MetricRegistry &metrics)
 {
     std::unique_ptr<StageRouter> router(new StageRouter(io, clock, settings, runner, endpointTable, metrics));
+    auto options = rpcOptions(settings);
+    options.memoryObserver = &router->m_messageMemory;
     auto service = StageService::create(
-        rpcOptions(settings), [&io](std::function<void()> work) { boost::asio::post(io, std::move(work)); }, clock,
-        *router);
+        options, [&io](std::function<void()> work) { boost::asio::post(io, std::move(work)); }, clock, *router);
     if (!service.ok()) {
         return service.status();
     }
@@ -130,7 +132,8 @@
       m_daemons(settings.instance.id, {}),
       m_watchTimer(io),
       m_remote(metrics.counter("mimosahub_stage_orders_remote_total", "Orders handed to other daemons.")),
-      m_moved(metrics.counter("mimosahub_stage_orders_moved_total", "Orders handed to one more daemon."))
+      m_moved(metrics.counter("mimosahub_stage_orders_moved_total", "Orders handed to one more daemon.")),
+      m_messageMemory(clock, metrics, "peers", settings.limits.memoryShares().peers)
 {
 }
 
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -9,6 +9,7 @@
 #include "gateway/quarantine_director.h"
 #include "gateway/rollout_director.h"
 #include "gateway/stage_runner.h"
+#include "http/memory_metrics.h"
 #include "peer/stage_service.h"
 
 #include <absl/status/statusor.h>
@@ -120,6 +121,7 @@
     bool m_watchArmed = false;
     Counter &m_remote;
     Counter &m_moved;
+    http::MemoryMetrics m_messageMemory; ///< Of messages of other daemons.
     std::unique_ptr<StageService> m_service; // Last: its callbacks use the others.
 };
 
--- a/src/peer/packed_message_stream.h
+++ b/src/peer/packed_message_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/memory_account.h"
 #include "mimosahub/clock.h"
 
 #include <capnp/serialize-async.h>
@@ -23,16 +24,26 @@
 struct PackedMessageStreamOptions {
     std::size_t maxMessageBytes = 1U << 20U; ///< Packed size; a larger message closes the connection.
     Duration idleTimeout = std::chrono::seconds(60); ///< A connection is closed after this time without a message.
+    Duration messageTimeout = std::chrono::seconds(5); ///< For the rest of a message after its length.
 };
 
 /// Stream of Cap'n Proto messages in the library's packed encoding, each preceded by
 /// its length in bytes as a 4-byte little-endian integer. Adds the bytes and messages of
-/// this connection to the counters of all connections. KJ's thread only.
+/// this connection to the counters of all connections. Messages that are being received, and those that
+/// are not handled yet, are held by \a memory; one for which it has no room closes the connection.
+/// KJ's thread only.
 class PackedMessageStream : public capnp::MessageStream
 {
 public:
     PackedMessageStream(kj::AsyncIoStream &stream, kj::Timer &timer, TrafficCounters &counters,
-                        PackedMessageStreamOptions options);
+                        http::MemoryAccount &memory, PackedMessageStreamOptions options);
+    ~PackedMessageStream();
+
+    /// Whether a whole message has come.
+    [[nodiscard]] bool hasReceived() const
+    {
+        return m_received;
+    }
 
     kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fdSpace,
                                                                       capnp::ReaderOptions options,
@@ -45,13 +56,20 @@
     kj::Promise<void> end() override;
 
 private:
-    kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> readBody(std::size_t size, capnp::ReaderOptions options);
+    using Result = kj::Maybe<capnp::MessageReaderAndFds>;
+    struct Incoming;
+
+    kj::Promise<void> readBody();
+    Result unpack(capnp::ReaderOptions options);
 
     kj::AsyncIoStream &m_stream;
     kj::Timer &m_timer;
     TrafficCounters &m_counters;
+    http::MemoryAccount &m_memory;
     PackedMessageStreamOptions m_options;
     std::uint8_t m_length[4] = {};
+    kj::Own<Incoming> m_incoming; ///< The message that is being received; null between messages.
+    bool m_received = false;
 };
 
 } // namespace mimosahub
--- a/src/peer/rpc_network.h
+++ b/src/peer/rpc_network.h
@@ -11,6 +11,7 @@
 #include <kj/async-io.h>
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <utility>
@@ -38,7 +39,10 @@
     std::size_t outstandingCalls = 4; ///< Maximum calls in flight to one peer; more fail at once.
     std::size_t maxMessageBytes = 1U << 20U; ///< Packed size; a larger message closes the connection.
     Duration idleTimeout = std::chrono::seconds(60); ///< A connection is closed after this time without a message.
-    std::size_t maxConnections = 1024; ///< Maximum accepted connections; more are closed at once.
+    /// Maximum accepted connections. A further one replaces the oldest on which no message has come, or is closed.
+    std::size_t maxConnections = 1024;
+    std::uint64_t memoryBytes = UINT64_MAX; ///< Most bytes of messages that are received and not handled.
+    http::MemoryObserver *memoryObserver = nullptr; ///< Of the memory of messages; null: none.
 };
 
 [[nodiscard]] inline capnp::ReaderOptions readerOptions(const RpcOptions &options)
@@ -52,9 +56,9 @@
 /// One accepted connection.
 struct RpcServerSession {
     RpcServerSession(kj::Own<kj::AsyncIoStream> accepted, kj::Timer &timer, TrafficCounters &counters,
-                     const RpcOptions &options, capnp::Capability::Client protocol)
+                     http::MemoryAccount &memory, const RpcOptions &options, capnp::Capability::Client protocol)
         : stream(kj::mv(accepted)),
-          messages(*stream, timer, counters, {options.maxMessageBytes, options.idleTimeout}),
+          messages(*stream, timer, counters, memory, {options.maxMessageBytes, options.idleTimeout}),
           network(messages, capnp::rpc::twoparty::Side::SERVER, readerOptions(options)),
           rpc(capnp::makeRpcServer(network, kj::mv(protocol)))
     {
@@ -70,9 +74,9 @@
 template<typename Protocol>
 struct RpcClientSession {
     RpcClientSession(kj::Own<kj::AsyncIoStream> opened, kj::Timer &timer, TrafficCounters &counters,
-                     const RpcOptions &options)
+                     http::MemoryAccount &memory, const RpcOptions &options)
         : stream(kj::mv(opened)),
-          messages(*stream, timer, counters, {options.maxMessageBytes, options.idleTimeout}),
+          messages(*stream, timer, counters, memory, {options.maxMessageBytes, options.idleTimeout}),
           network(messages, capnp::rpc::twoparty::Side::CLIENT, readerOptions(options)),
           rpc(capnp::makeRpcClient(network)),
           protocol(bootstrap())
@@ -99,13 +103,14 @@
 class RpcClientConnection : public kj::Refcounted
 {
 public:
-    RpcClientConnection(kj::Network &network, kj::Timer &timer, TrafficCounters &counters, const RpcOptions &options,
-                        const Address &peer, std::function<void(const RpcClientConnection *)> onClosed)
+    RpcClientConnection(kj::Network &network, kj::Timer &timer, TrafficCounters &counters, http::MemoryAccount &memory,
+                        const RpcOptions &options, const Address &peer,
+                        std::function<void(const RpcClientConnection *)> onClosed)
         : m_ready(
             network.parseAddress(peer.host, peer.port)
                 .then([](kj::Own<kj::NetworkAddress> address) { return address->connect().attach(kj::mv(address)); })
-                .then([this, &timer, &counters, &options](kj::Own<kj::AsyncIoStream> stream) {
-                    m_session = kj::heap<RpcClientSession<Protocol>>(kj::mv(stream), timer, counters, options);
+                .then([this, &timer, &counters, &memory, &options](kj::Own<kj::AsyncIoStream> stream) {
+                    m_session = kj::heap<RpcClientSession<Protocol>>(kj::mv(stream), timer, counters, memory, options);
                 })
                 .fork()),
           m_closed(ready()
@@ -147,12 +152,13 @@
 
     /// \a running is read on the executor's thread: once false, no result is reported.
     RpcNetwork(kj::AsyncIoContext &io, const RpcOptions &options, RpcExecutor executor, std::shared_ptr<bool> running,
-               TrafficCounters &counters, capnp::Capability::Client server)
+               TrafficCounters &counters, http::MemoryAccount &memory, capnp::Capability::Client server)
         : m_io(io),
           m_options(options),
           m_executor(std::move(executor)),
           m_running(std::move(running)),
           m_counters(counters),
+          m_memory(memory),
           m_protocol(kj::mv(server)),
           m_tasks(*this)
     {
@@ -247,7 +253,8 @@
         const auto onClosed = [this, peer](const Connection *closed) {
             m_tasks.add(kj::evalLater([this, peer, closed]() { discardConnection(peer, closed); }));
         };
-        return kj::refcounted<Connection>(m_io.provider->getNetwork(), timer(), m_counters, m_options, peer, onClosed);
+        return kj::refcounted<Connection>(m_io.provider->getNetwork(), timer(), m_counters, m_memory, m_options, peer,
+                                          onClosed);
     }
 
     static absl::Status statusOf(const kj::Exception &exception, bool open, const Address &peer)
@@ -310,15 +317,37 @@
             });
     }
 
+    /// An accepted connection, and what ends it.
+    struct Accepted {
+        Accepted(kj::Own<kj::AsyncIoStream> stream, kj::Timer &timer, TrafficCounters &counters,
+                 http::MemoryAccount &memory, const RpcOptions &options, capnp::Capability::Client protocol)
+            : session(kj::mv(stream), timer, counters, memory, options, kj::mv(protocol))
+        {
+        }
+        RpcServerSession session;
+        kj::Canceler ending;
+    };
+
     void serve(kj::Own<kj::AsyncIoStream> stream)
     {
-        if (m_accepted >= m_options.maxConnections) {
+        if (m_accepted.size() >= m_options.maxConnections && !replaceSilent()) {
             return;
         }
-        ++m_accepted;
-        auto session = kj::heap<RpcServerSession>(kj::mv(stream), timer(), m_counters, m_options, m_protocol);
-        auto closed = session->network.onDisconnect();
-        m_tasks.add(closed.attach(kj::mv(session), kj::defer([this]() { --m_accepted; })));
+        auto accepted = kj::heap<Accepted>(kj::mv(stream), timer(), m_counters, m_memory, m_options, m_protocol);
+        auto closed = accepted->ending.wrap(accepted->session.network.onDisconnect());
+        const auto place = m_accepted.insert(m_accepted.end(), accepted.get());
+        m_tasks.add(closed.attach(kj::mv(accepted), kj::defer([this, place]() { m_accepted.erase(place); })));
+    }
+    /// Closes the oldest accepted connection on which no message has come; false if there is none.
+    bool replaceSilent()
+    {
+        for (auto *it : m_accepted) {
+            if (!it->session.messages.hasReceived() && !it->ending.isEmpty()) {
+                it->ending.cancel("replaced by a new connection");
+                return true;
+            }
+        }
+        return false;
     }
 
     void taskFailed(kj::Exception && /*exception*/) override
@@ -331,10 +360,11 @@
     RpcExecutor m_executor;
     std::shared_ptr<bool> m_running;
     TrafficCounters &m_counters;
+    http::MemoryAccount &m_memory;
     capnp::Capability::Client m_protocol;
     kj::Own<kj::ConnectionReceiver> m_listener;
     std::map<Address, PeerState> m_peers;
-    std::size_t m_accepted = 0;
+    std::list<Accepted *> m_accepted; ///< The oldest first.
     std::map<RpcCallId, kj::Own<kj::Canceler>> m_cancelers;
     kj::TaskSet m_tasks; // Last: its tasks use the others.
 };
--- a/src/peer/rpc_thread.h
+++ b/src/peer/rpc_thread.h
@@ -89,8 +89,11 @@
 private:
     void run(std::promise<absl::StatusOr<std::uint16_t>> &listening)
     {
+        SystemClock clock;
+        http::MemoryAccount memory(clock, {.budget = m_options.memoryBytes});
+        memory.setObserver(m_options.memoryObserver);
         auto io = kj::setupAsyncIo();
-        RpcNetwork<Protocol> network(io, m_options, m_executor, m_running, m_counters, m_makeServer());
+        RpcNetwork<Protocol> network(io, m_options, m_executor, m_running, m_counters, memory, m_makeServer());
         m_network = &network;
         std::uint16_t port = 0;
         KJ_IF_MAYBE (exception, kj::runCatchingExceptions([&]() { port = network.listen(io.waitScope); })) {
