Bound the memory of the own interface

Cause: its servers accounted against an unlimited budget. Besides, a body was kept three times, and JSON documents may take many times their text.

Change: each traffic thread has an account with its part of limits.memory_mb (new, default 256), the operators' port and the port for daemons have theirs. Bodies are moved, not copied; documents are parsed into accounted memory; calls and answers of endpoints are held. Too little memory for one body of the largest legal size is an error at the start.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -29,6 +29,7 @@
 constexpr Range<int> kCount = {1, 1'000'000};
 constexpr Range<std::size_t> kHeaderBytes = {1U << 10U, 1U << 20U};
 constexpr Range<std::size_t> kBodyBytes = {1U << 10U, 1U << 30U};
+constexpr Range<int> kMemoryMb = {48, 1 << 20};
 constexpr Range<std::size_t> kBufferBytes = {64U << 10U, std::size_t(64) << 30U};
 
 constexpr std::array kLogLevels = {
@@ -131,6 +132,7 @@
     reader.integer("open_connections", limits.openConnections, kCount);
     reader.integer("open_requests_per_workspace", limits.openRequestsPerWorkspace, kCount);
     reader.integer("buffered_bytes_per_workspace", limits.bufferedBytesPerWorkspace, kBufferBytes);
+    reader.integer("memory_mb", limits.memoryMb, kMemoryMb);
     if (limits.bufferedBytesPerWorkspace < limits.bodyBytes && !reader.faulty("body_bytes")
         && !reader.faulty("buffered_bytes_per_workspace")) {
         reader.report("buffered_bytes_per_workspace", std::to_string(limits.bufferedBytesPerWorkspace),
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -50,6 +50,7 @@
     int openConnections = 4096;
     int openRequestsPerWorkspace = 512;
     std::size_t bufferedBytesPerWorkspace = 32U << 20U;
+    int memoryMb = 256; ///< Resident and in the kernel's socket buffers, in MiB.
 };
 
 /// Periods and time limits.
--- a/src/daemon/answer_sink.cc
+++ b/src/daemon/answer_sink.cc
@@ -62,8 +62,9 @@
     m_wake.cancel();
 }
 
-void AnswerSink::finishWhole(http::Response response)
+void AnswerSink::finishWhole(http::Response response, std::shared_ptr<http::MemoryHold> memory)
 {
+    m_memory = std::move(memory);
     m_whole = std::move(response);
     m_end = End::Whole;
     m_wake.cancel();
@@ -95,6 +96,10 @@
         co_await http::sleepOn(m_wake);
     }
     if (m_end == End::Whole) {
+        if (m_memory) {
+            m_memory->setOnEnd([&exchange] { exchange.cut(); });
+            m_memory->setBlocked(true);
+        }
         co_return (co_await exchange.respond(std::move(*m_whole))).ok();
     }
     if (!(co_await exchange.startStream(streamHead(id))).ok()) {
--- a/src/daemon/answer_sink.h
+++ b/src/daemon/answer_sink.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -26,8 +27,8 @@
     void finishStream();
     /// Ends a streamed answer with an error event.
     void failStream(const Refusal &refusal, const RequestId &id);
-    /// Gives a whole answer.
-    void finishWhole(http::Response response);
+    /// Gives a whole answer, whose body \a memory holds, if not null.
+    void finishWhole(http::Response response, std::shared_ptr<http::MemoryHold> memory = nullptr);
 
     /// Whether the caller reads too slowly to take more now.
     [[nodiscard]] bool full() const;
@@ -51,6 +52,7 @@
     boost::asio::steady_timer m_room; ///< Wakes those who wait for room.
     std::string m_events;
     std::optional<http::Response> m_whole;
+    std::shared_ptr<http::MemoryHold> m_memory; ///< Of m_whole.
     End m_end = End::None;
     bool m_closed = false;
 };
--- a/src/daemon/caller_request.cc
+++ b/src/daemon/caller_request.cc
@@ -3,12 +3,15 @@
 
 #include "daemon/caller_request.h"
 
+#include "http/accounted_memory.h"
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
-#include <boost/json/parse.hpp>
+#include <boost/json/parser.hpp>
 
 #include <charconv>
+#include <memory>
+#include <new>
 
 namespace mimosahub
 {
@@ -24,19 +27,37 @@
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::size_t kMaxJsonDepth = 32;
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
 Refusal refuse(Reason reason, std::string detail)
 {
     return makeRefusal(reason, std::move(detail), Step::Parse);
 }
 
-std::optional<Refusal> readBody(const http::Request &request, CallerRequest &it)
+/// Parses \a text. Throws std::bad_alloc if \a memory has no room for the document, or for the parser.
+json::value parseJson(std::string_view text, http::MemoryAccount &memory, json::error_code &ec)
 {
-    it.body = request.body();
-    json::error_code ec;
     json::parse_options options;
     options.max_depth = kMaxJsonDepth;
-    it.input = json::parse(it.body, ec, {}, options);
+    const auto storage = json::make_shared_resource<http::AccountedMemory>(memory);
+    json::parser parser(storage, options);
+    parser.reset(storage);
+    parser.write(text.data(), text.size(), ec);
+    return ec ? json::value() : parser.release();
+}
+
+std::optional<Refusal> readBody(CallerRequest &it, http::MemoryAccount &memory)
+{
+    json::error_code ec;
+    try {
+        // Assignment would copy the document into memory of which nobody keeps account.
+        auto input = parseJson(it.body, memory, ec);
+        std::destroy_at(&it.input);
+        std::construct_at(&it.input, std::move(input));
+    } catch (const std::bad_alloc &) {
+        return makeRefusal(Reason::Overloaded, "this daemon has no memory for the body's content now", Step::Parse,
+                           kRetryAfter);
+    }
     if (ec) {
         return refuse(Reason::BadRequest, "the body is not JSON: " + ec.message());
     }
@@ -147,10 +168,12 @@
 
 } // namespace
 
-Result readCallerRequest(const http::Request &request, RequestId id, const Configuration &configuration)
+Result readCallerRequest(const http::Request &request, std::string body, RequestId id,
+                         const Configuration &configuration, http::MemoryAccount &memory)
 {
     CallerRequest it;
     it.id = std::move(id);
+    it.body = std::move(body);
     it.target = std::string(http::fromBeast(request.target()));
     const std::string path(http::pathOf(it.target));
     if (!isKnownPath(path)) {
@@ -159,7 +182,7 @@
     if (request.method() != http::beast::http::verb::post) {
         return refuse(Reason::BadRequest, "only POST is allowed on '" + path + "'");
     }
-    if (auto refusal = readBody(request, it)) {
+    if (auto refusal = readBody(it, memory)) {
         return *refusal;
     }
     ProfileId profile;
--- a/src/daemon/caller_request.h
+++ b/src/daemon/caller_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/memory_account.h"
 #include "http/message.h"
 #include "mimosahub/configuration.h"
 #include "mimosahub/outcome.h"
@@ -25,14 +26,15 @@
     Duration deadline{}; ///< From arrival to the end of the answer.
     std::string target; ///< Of the HTTP request; part of an idempotency key's digest.
     std::string body; ///< As received.
-    boost::json::value input; ///< The parsed body.
+    boost::json::value input; ///< The parsed body, held by the account.
     std::string idempotencyKey; ///< Header Idempotency-Key, or empty.
     std::string idempotencyExpires; ///< Header Idempotency-Expires, or empty.
 };
 
-/// Resolves \a request, or says why it can't be served:
+/// Resolves \a request, whose body it takes, or says why it can't be served:
 /// POST /v1/pipelines/NAME, POST /v1/services/NAME/CALL, POST /v1/chat/completions.
-[[nodiscard]] std::variant<CallerRequest, Refusal> readCallerRequest(const http::Request &request, RequestId id,
-                                                                     const Configuration &configuration);
+[[nodiscard]] std::variant<CallerRequest, Refusal> readCallerRequest(const http::Request &request, std::string body,
+                                                                     RequestId id, const Configuration &configuration,
+                                                                     http::MemoryAccount &memory);
 
 } // namespace mimosahub
--- a/src/daemon/endpoint_call.cc
+++ b/src/daemon/endpoint_call.cc
@@ -77,8 +77,15 @@
     co_await boost::asio::this_coro::throw_if_cancelled(false);
 }
 
-EndpointCall::EndpointCall(CallIdentity identity, std::size_t stage, Report report)
-    : m_identity(std::move(identity)), m_stage(stage), m_report(std::move(report))
+EndpointCall::EndpointCall(CallIdentity identity, std::size_t stage, http::MemoryAccount &memory, Report report)
+    : m_identity(std::move(identity)),
+      m_stage(stage),
+      m_report(std::move(report)),
+      m_memory(std::make_shared<http::MemoryHold>(memory, http::MemoryUse::Answer, [this] {
+          if (m_connection) {
+              m_connection->close();
+          }
+      }))
 {
 }
 
@@ -132,8 +139,16 @@
 http::Awaitable<void> EndpointCall::run(http::ConnectionPool &pool, http::Request request, Duration timeout,
                                         bool isEngine, AnswerSink *relay)
 {
+    // A stream's events wait in the sink; room for them is taken before anything is sent.
+    const auto base = relay != nullptr ? http::kStreamOverheadBytes : 0;
+    if (!m_memory->grow(base + request.body().size())) {
+        fail(AttemptFailure::ConnectFailed);
+        co_return;
+    }
     request.set(http::beast::http::field::host, m_connection->peer().str());
     const auto sent = co_await m_connection->send(request, timeout);
+    std::string().swap(request.body());
+    m_memory->shrinkTo(base);
     if (!sent.ok()) {
         fail(failureOf(sent, false));
         co_return;
@@ -160,12 +175,13 @@
 
 http::Awaitable<void> EndpointCall::readPlain(http::ConnectionPool &pool, const CallIdentity &echo, Duration timeout)
 {
-    auto body = co_await m_connection->readRest(timeout, kMaxAnswerBytes);
+    auto body = co_await m_connection->readRest(timeout, kMaxAnswerBytes, m_memory.get());
     if (!body.ok()) {
         fail(failureOf(body.status(), true));
         co_return;
     }
     m_body = std::move(*body);
+    m_memory->setReceived();
     if (echo == m_identity) {
         pool.release(std::move(m_connection));
     }
@@ -190,7 +206,9 @@
             co_return;
         }
         done = takeEvents(events, relay != nullptr);
-        if (m_body.size() > kMaxAnswerBytes) {
+        const auto base = relay != nullptr ? http::kStreamOverheadBytes : 0;
+        const bool held = m_memory->resize(base + m_body.size() + parser.bufferedBytes());
+        if (!held || m_body.size() > kMaxAnswerBytes) {
             fail(AttemptFailure::ShortAnswer);
             co_return;
         }
--- a/src/daemon/endpoint_call.h
+++ b/src/daemon/endpoint_call.h
@@ -31,7 +31,8 @@
     /// Takes what happened to the attempt.
     using Report = std::function<void(RequestEvent)>;
 
-    EndpointCall(CallIdentity identity, std::size_t stage, Report report);
+    /// \a memory holds what is sent and received; it must outlive the call.
+    EndpointCall(CallIdentity identity, std::size_t stage, http::MemoryAccount &memory, Report report);
 
     /// Waits for an endpoint. Reports EndpointChosen or NoEndpoint.
     http::Awaitable<void> choose(Dispatcher &dispatcher, DispatchRequest request);
@@ -41,6 +42,11 @@
     /// as they come; the reading waits while the sink is full.
     http::Awaitable<void> run(http::ConnectionPool &pool, http::Request request, Duration timeout, bool isEngine,
                               AnswerSink *relay);
+    /// The memory of the answer, for whoever passes on its body.
+    [[nodiscard]] std::shared_ptr<http::MemoryHold> memory() const
+    {
+        return m_memory;
+    }
     /// Ends all I/O at once; the connection is closed and never pooled.
     void abandon();
     /// Gives the slot back.
@@ -118,6 +124,7 @@
     std::size_t m_stage;
     Report m_report;
     std::optional<Dispatched> m_slot;
+    std::shared_ptr<http::MemoryHold> m_memory;
     std::unique_ptr<http::ClientConnection> m_connection;
     std::shared_ptr<boost::asio::cancellation_signal> m_cancel; ///< Null before the first coroutine.
     std::optional<TimePoint> m_sentAt;
--- a/src/daemon/endpoint_call_test.cc
+++ b/src/daemon/endpoint_call_test.cc
@@ -17,7 +17,10 @@
 /// What the coroutines of the test share.
 struct Scene {
     boost::asio::io_context io{1};
-    std::shared_ptr<EndpointCall> call = std::make_shared<EndpointCall>(CallIdentity(), 0, [](const RequestEvent &) {});
+    SystemClock clock;
+    http::MemoryAccount memory{clock, {}};
+    std::shared_ptr<EndpointCall> call =
+        std::make_shared<EndpointCall>(CallIdentity(), 0, memory, [](const RequestEvent &) {});
     bool cancelled = false;
 };
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -10,6 +10,7 @@
 #include "daemon/operator_api.h"
 #include "daemon/traffic_thread.h"
 #include "gateway/gateway_daemon.h"
+#include "http/memory_shares.h"
 #include "platform/call_messages.h"
 #include "platform/documents.h"
 #include "platform/duty_messages.h"
@@ -78,7 +79,7 @@
 {
     auto address = shared.settings.listen.callers;
     for (int i = 0; i < shared.settings.threads.traffic; ++i) {
-        auto thread = TrafficThread::create(shared, address, seed + static_cast<std::uint64_t>(i));
+        auto thread = TrafficThread::create(shared, address, i, seed + static_cast<std::uint64_t>(i));
         if (!thread.ok()) {
             return thread.status();
         }
@@ -96,6 +97,7 @@
 
 int runDaemon(const Settings &settings)
 {
+    http::boundHeap();
     SystemClock clock;
     const auto output = LogOutput::open(std::cerr, settings.log.level, settings.log.format, clock);
     MetricRegistry metrics;
@@ -117,13 +119,14 @@
     RequestMetrics requestMetrics(metrics);
     boost::asio::io_context stopping(1);
     control.setOnSuperseded([&] { stopping.stop(); });
-    OperatorApi operators(control, clock, metrics, requestMetrics);
+    OperatorApi operators(control, clock, metrics, requestMetrics,
+                          http::MemoryShares::of(settings.limits.memoryMb).operators);
     if (const auto status = operators.listen(settings.listen.operators); !status.ok()) {
         return fail(status);
     }
     const TrafficShared shared{
-        clock,   settings,      views, control.peers().freshness(), *policy, control.feedback(), control.workspaces(),
-        control, requestMetrics};
+        clock,   settings,       views,  control.peers().freshness(), *policy, control.feedback(), control.workspaces(),
+        control, requestMetrics, metrics};
     const auto seed = static_cast<std::uint64_t>(clock.wallTime().time_since_epoch().count());
     if (const auto status = openTraffic(shared, seed, threads); !status.ok()) {
         return fail(status);
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -139,19 +139,27 @@
 } // namespace
 
 OperatorApi::OperatorApi(ControlThread &control, const Clock &clock, MetricRegistry &metrics,
-                         const RequestMetrics &requests)
-    : m_control(control), m_clock(clock), m_metrics(metrics), m_requests(requests), m_process(metrics)
+                         const RequestMetrics &requests, std::uint64_t memoryBytes)
+    : m_control(control),
+      m_clock(clock),
+      m_metrics(metrics),
+      m_requests(requests),
+      m_process(metrics),
+      m_memoryMetrics(clock, metrics, "operators", memoryBytes),
+      m_memory(clock, {.budget = memoryBytes})
 {
+    m_memory.setObserver(&m_memoryMetrics);
 }
 
 absl::Status OperatorApi::listen(const Address &address)
 {
-    auto server = http::Server::listen(m_control.io(), address, {},
+    auto server = http::Server::listen(m_control.io(), address, http::ServerOptions::forOperators(),
                                        [this](http::Exchange &exchange) { return handle(exchange); });
     if (!server.ok()) {
         return server.status();
     }
     m_server = *server;
+    m_server->setMemory(m_memory);
     m_process.addServer("operators", m_server->counters());
     m_server->start();
     return absl::OkStatus();
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -4,6 +4,7 @@
 #include "daemon/operator_views.h"
 #include "daemon/process_metrics.h"
 #include "daemon/request_metrics.h"
+#include "http/memory_metrics.h"
 #include "http/server.h"
 
 namespace mimosahub
@@ -14,8 +15,9 @@
 class OperatorApi
 {
 public:
-    /// All arguments must outlive the API.
-    OperatorApi(ControlThread &control, const Clock &clock, MetricRegistry &metrics, const RequestMetrics &requests);
+    /// All arguments must outlive the API. \a memoryBytes: most that requests and responses may hold.
+    OperatorApi(ControlThread &control, const Clock &clock, MetricRegistry &metrics, const RequestMetrics &requests,
+                std::uint64_t memoryBytes);
 
     /// Listens on \a address.
     absl::Status listen(const Address &address);
@@ -50,6 +52,8 @@
     MetricRegistry &m_metrics;
     const RequestMetrics &m_requests;
     ProcessMetrics m_process;
+    http::MemoryMetrics m_memoryMetrics;
+    http::MemoryAccount m_memory;
     std::shared_ptr<http::Server> m_server;
 };
 
--- a/src/daemon/peer_loop.cc
+++ b/src/daemon/peer_loop.cc
@@ -4,6 +4,8 @@
 
 #include "daemon/peer_loop.h"
 
+#include "http/memory_shares.h"
+
 #include "base/log.h"
 #include "daemon/peer_records.h"
 #include "daemon/peer_settings.h"
@@ -65,6 +67,9 @@
     auto forwarder = std::make_unique<Forwarder>();
     PeerServiceOptions options;
     options.listen = settings.listen.peers;
+    options.memoryBytes = http::MemoryShares::of(settings.limits.memoryMb).peers;
+    auto memory = std::make_unique<http::MemoryMetrics>(clock, metrics, "peers", options.memoryBytes);
+    options.memoryObserver = memory.get();
     auto service = PeerService::create(
         options, [&io](std::function<void()> work) { boost::asio::post(io, std::move(work)); }, *forwarder);
     if (!service.ok()) {
@@ -75,6 +80,7 @@
     std::unique_ptr<PeerLoop> loop(new PeerLoop(io, clock, settings, log, metrics, std::move(*service), self));
     forwarder->setTarget(*loop);
     loop->m_forwarder = std::move(forwarder);
+    loop->m_messageMemory = std::move(memory);
     return loop;
 }
 
--- a/src/daemon/peer_loop.h
+++ b/src/daemon/peer_loop.h
@@ -6,6 +6,7 @@
 #include "daemon/listed_daemons.h"
 #include "daemon/log_loop.h"
 #include "daemon/peer_catch_up.h"
+#include "http/memory_metrics.h"
 #include "http/wake_timer.h"
 #include "peer/confirmation.h"
 #include "peer/freshness.h"
@@ -125,6 +126,7 @@
     const Clock &m_clock;
     LogLoop &m_log;
     std::unique_ptr<PeerHandler> m_forwarder;
+    std::unique_ptr<http::MemoryMetrics> m_messageMemory; ///< Used by the service.
     std::unique_ptr<PeerService> m_service;
     PeerCatchUp m_catchUp;
     std::vector<Address> m_listed; ///< The other daemons' addresses.
--- a/src/daemon/request_runner.cc
+++ b/src/daemon/request_runner.cc
@@ -185,7 +185,7 @@
 void RequestRunner::perform(const ChooseEndpoint &action)
 {
     const auto &stage = m_request.stages[action.stage];
-    auto call = std::make_shared<EndpointCall>(m_core->identityOf(action.attempt), action.stage,
+    auto call = std::make_shared<EndpointCall>(m_core->identityOf(action.attempt), action.stage, m_context.memory,
                                                [weak = weak_from_this()](RequestEvent event) {
                                                    if (const auto self = weak.lock()) {
                                                        self->post(std::move(event));
@@ -422,7 +422,7 @@
     auto response = http::makeResponse(call.status(), call.contentType(), call.body());
     response.set(http::toBeast(http::kOutcomeHeader), http::toBeast(outcomeName(Outcome::Ok)));
     response.set(http::toBeast(http::kRequestHeader), m_request.id.str());
-    m_sink.finishWhole(std::move(response));
+    m_sink.finishWhole(std::move(response), call.memory());
 }
 
 /// The answer that the key's first call got, as recorded in the log.
--- a/src/daemon/request_runner.h
+++ b/src/daemon/request_runner.h
@@ -51,6 +51,7 @@
     const IdempotencyOptions &idempotency;
     Random &random;
     LiveRequests &live;
+    http::MemoryAccount &memory;
     ZoneId zone; ///< This daemon's availability zone.
 };
 
--- a/src/daemon/traffic_thread.cc
+++ b/src/daemon/traffic_thread.cc
@@ -5,6 +5,8 @@
 #include "daemon/traffic_thread.h"
 
 #include "daemon/request_settings.h"
+#include "http/memory_shares.h"
+#include "http/socket_buffers.h"
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -33,29 +35,47 @@
     return options;
 }
 
+std::uint64_t memoryOf(const Settings &settings)
+{
+    return http::MemoryShares::of(settings.limits.memoryMb).requests
+        / static_cast<std::uint64_t>(std::max(1, settings.threads.traffic));
+}
+
 } // namespace
 
-absl::StatusOr<std::unique_ptr<TrafficThread>> TrafficThread::create(const TrafficShared &shared,
-                                                                     const Address &address, std::uint64_t seed)
+absl::StatusOr<std::unique_ptr<TrafficThread>>
+TrafficThread::create(const TrafficShared &shared, const Address &address, int index, std::uint64_t seed)
 {
-    std::unique_ptr<TrafficThread> thread(new TrafficThread(shared, seed));
+    const auto memory = memoryOf(shared.settings);
+    if (memory < shared.settings.limits.bodyBytes + 4 * http::kRequestOverheadBytes) {
+        return errorAt(absl::StatusCode::kInvalidArgument, Step::Listen, address.str(),
+                       absl::StrCat("limits.memory_mb leaves ", memory,
+                                    " bytes to each traffic thread, fewer than a body of limits.body_bytes needs"));
+    }
+    std::unique_ptr<TrafficThread> thread(new TrafficThread(shared, index, seed));
     http::ServerOptions options;
     options.maxHeaderBytes = static_cast<std::uint32_t>(shared.settings.limits.headerBytes);
     options.maxBodyBytes = shared.settings.limits.bodyBytes;
     options.maxConnections = static_cast<std::size_t>(shared.settings.limits.openConnections);
     options.idleTimeout = shared.settings.timeouts.idleConnection;
+    options.receiveBufferBytes = http::kCallerReceiveBytes;
+    options.bodyReceiveBufferBytes = http::kBodyReceiveBytes;
+    options.sendBufferBytes = http::kCallerSendBytes;
     auto *self = thread.get();
     auto server = http::Server::listen(*thread->m_io, address, options,
                                        [self](http::Exchange &exchange) { return self->handle(exchange); });
     if (!server.ok()) {
         return server.status();
     }
+    (*server)->setMemory(self->m_memory);
     thread->m_server = *server;
     return thread;
 }
 
-TrafficThread::TrafficThread(const TrafficShared &shared, std::uint64_t seed)
+TrafficThread::TrafficThread(const TrafficShared &shared, int index, std::uint64_t seed)
     : m_shared(shared),
+      m_memoryMetrics(shared.clock, shared.registry, absl::StrCat("requests-", index), memoryOf(shared.settings)),
+      m_memory(shared.clock, {.budget = memoryOf(shared.settings)}),
       m_io(std::make_unique<boost::asio::io_context>(1)),
       m_work(boost::asio::make_work_guard(*m_io)),
       m_random(seed),
@@ -64,15 +84,24 @@
       m_requestOptions(requestOptionsOf(shared.settings)),
       m_idempotency(idempotencyOptionsOf(shared.settings)),
       m_limits(limitsOf(shared.settings)),
-      m_context{*m_io,           shared.clock,
-                shared.views,    shared.freshness,
-                m_pool,          m_dispatcher,
-                shared.feedback, shared.claims,
-                shared.metrics,  {m_requestOptions, m_histories, m_counters, m_random},
-                m_idempotency,   m_random,
-                m_live,          shared.settings.instance.zone},
+      m_context{*m_io,
+                shared.clock,
+                shared.views,
+                shared.freshness,
+                m_pool,
+                m_dispatcher,
+                shared.feedback,
+                shared.claims,
+                shared.metrics,
+                {m_requestOptions, m_histories, m_counters, m_random},
+                m_idempotency,
+                m_random,
+                m_live,
+                m_memory,
+                shared.settings.instance.zone},
       m_idPrefix(m_random.below(UINT64_MAX))
 {
+    m_memory.setObserver(&m_memoryMetrics);
 }
 
 TrafficThread::~TrafficThread()
@@ -128,7 +157,8 @@
         co_await exchange.answer(refusalResponse(notCaughtUp(), RequestId()));
         co_return;
     }
-    auto request = readCallerRequest(exchange.request(), nextRequestId(), *view->configuration);
+    auto request = readCallerRequest(exchange.request(), std::move(exchange.body()), nextRequestId(),
+                                     *view->configuration, m_memory);
     if (const auto *refusal = std::get_if<Refusal>(&request)) {
         co_await exchange.answer(refusalResponse(*refusal, RequestId()));
         co_return;
--- a/src/daemon/traffic_thread.h
+++ b/src/daemon/traffic_thread.h
@@ -2,6 +2,7 @@
 
 #include "config/settings.h"
 #include "daemon/request_runner.h"
+#include "http/memory_metrics.h"
 #include "request/workspace_limits.h"
 
 #include <memory>
@@ -21,15 +22,16 @@
     std::shared_ptr<WorkspaceCounters> workspaces;
     ClaimGate &claims;
     RequestMetrics &metrics;
+    MetricRegistry &registry;
 };
 
 /// One thread that owns callers' connections and their requests.
 class TrafficThread
 {
 public:
-    /// Opens the listening socket on \a address.
+    /// Opens the listening socket on \a address. \a index: the thread's, from 0.
     static absl::StatusOr<std::unique_ptr<TrafficThread>> create(const TrafficShared &shared, const Address &address,
-                                                                 std::uint64_t seed);
+                                                                 int index, std::uint64_t seed);
     ~TrafficThread();
 
     void start();
@@ -58,12 +60,14 @@
     }
 
 private:
-    TrafficThread(const TrafficShared &shared, std::uint64_t seed);
+    TrafficThread(const TrafficShared &shared, int index, std::uint64_t seed);
     http::Awaitable<void> handle(http::Exchange &exchange);
     http::Awaitable<void> run(CallerRequest request, http::Exchange &exchange);
     RequestId nextRequestId();
 
     const TrafficShared m_shared;
+    http::MemoryMetrics m_memoryMetrics;
+    http::MemoryAccount m_memory;
     std::unique_ptr<boost::asio::io_context> m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     Random m_random;
--- a/src/request/sse.h
+++ b/src/request/sse.h
@@ -43,6 +43,12 @@
         return m_hasFields || !m_line.empty();
     }
 
+    /// Bytes of the event that has not ended.
+    [[nodiscard]] std::size_t bufferedBytes() const
+    {
+        return m_line.size() + m_event.data.size();
+    }
+
 private:
     void processLine(std::string_view line, std::vector<SseEvent> &events);
 
--- a/standin/endpoint.cc
+++ b/standin/endpoint.cc
@@ -26,6 +26,7 @@
 constexpr std::size_t kPrefixBytes = 256;
 constexpr std::size_t kBytesPerToken = 4;
 constexpr int kDefaultTokens = 16;
+constexpr std::uint64_t kMaxBodyBytes = std::uint64_t(16) << 20U; ///< Of a call: more than any caller's.
 /// The request that crossed answers belong to.
 constexpr auto kAnotherRequest = "another-request";
 /// How often a held call looks whether it may go on.
@@ -114,7 +115,9 @@
 {
     std::unique_ptr<Endpoint> endpoint(new Endpoint(io, clock, options));
     auto *self = endpoint.get();
-    auto server = http::Server::listen(io, options.info.address, {},
+    http::ServerOptions limits;
+    limits.maxBodyBytes = kMaxBodyBytes;
+    auto server = http::Server::listen(io, options.info.address, limits,
                                        [self](http::Exchange &exchange) { return self->handle(exchange); });
     if (!server.ok()) {
         return server.status();
