Fuzz the framing of requests: chunks, extensions and trailers

The check for a body whose end can't be told moves to a module of its own, so that the fuzzer needs no coroutines.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -8,13 +8,12 @@
 
 #include "base/log.h"
 #include "http/idle_watch.h"
+#include "http/request_framing.h"
 #include "http/socket_buffers.h"
 #include "http/socket_state.h"
 #include "mimosahub/error.h"
 #include "mimosahub/outcome.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -112,21 +111,6 @@
     }
 }
 
-/// Whether \a request has a body whose end can't be told: codings of its transfer of which the
-/// last isn't "chunked", several such headers, or a length beside them (RFC 9112, 6.1 and 6.3).
-/// What would follow its header would be taken for a further request.
-bool hasUnknownEnd(const beast::http::fields &request)
-{
-    using beast::http::field;
-    if (request.count(field::transfer_encoding) == 0) {
-        return request.count(field::content_length) > 1;
-    }
-    const auto coding = fromBeast(request[field::transfer_encoding]);
-    const absl::string_view text(coding.data(), coding.size());
-    return request.count(field::transfer_encoding) > 1 || request.count(field::content_length) > 0
-        || !absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(text), "chunked");
-}
-
 /// Frees what was read of a request that is refused. Its connection stays for kLingerTime and holds \a kept bytes.
 void drop(BodyReader::Parser &parser, beast::flat_buffer &buffer, MemoryHold &hold, std::uint64_t kept)
 {
