Bound what the kernel holds of messages of other daemons

The listener's receive buffer is 32 KiB now, which accepted connections inherit: 16 MB a second at a round trip of 2 ms.

--- a/src/http/socket_buffers.h
+++ b/src/http/socket_buffers.h
@@ -10,6 +10,7 @@
 constexpr int kCallerReceiveBytes = 16 * 1024; ///< Before a large body is admitted.
 constexpr int kBodyReceiveBytes = 64 * 1024; ///< While a large body is read: 640 KiB/s at a round trip of 100 ms.
 constexpr int kCallerSendBytes = 16 * 1024;
+constexpr int kPeerReceiveBytes = 32 * 1024; ///< For messages of other daemons.
 constexpr int kEndpointReceiveBytes = 32 * 1024;
 constexpr int kEndpointSendBytes = 64 * 1024;
 
--- a/src/peer/rpc_network.h
+++ b/src/peer/rpc_network.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/socket_buffers.h"
 #include "mimosahub/endpoint.h"
 #include "mimosahub/error.h"
 #include "mimosahub/ids.h"
@@ -16,6 +17,8 @@
 #include <memory>
 #include <utility>
 
+#include <sys/socket.h>
+
 /// Connections for one Cap'n Proto interface between daemons. KJ's thread only,
 /// unless stated otherwise.
 namespace mimosahub
@@ -170,6 +173,8 @@
         auto &network = m_io.provider->getNetwork();
         auto address = network.parseAddress(m_options.listen.host, m_options.listen.port).wait(waitScope);
         m_listener = address->listen();
+        const int receiveBytes = http::kPeerReceiveBytes; // Holds for the connections that are accepted.
+        m_listener->setsockopt(SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
         m_tasks.add(acceptNext());
         return static_cast<std::uint16_t>(m_listener->getPort());
     }
