Let slow bodies of the own interface take a minute

A body of the largest legal size had 10 s, 420 KiB a second, while profiles may allow more. Its least pace (32 KiB a second after 3 s, no pause of 5 s) bounds what a slow sender holds.

--- a/src/daemon/traffic_thread.cc
+++ b/src/daemon/traffic_thread.cc
@@ -19,6 +19,9 @@
 namespace
 {
 
+/// For a whole body: its least pace bounds it before, unless it is small.
+constexpr Duration kBodyTimeout = std::chrono::minutes(1);
+
 /// What a daemon answers that has not read the log yet.
 Refusal notCaughtUp()
 {
@@ -58,6 +61,7 @@
     options.maxBodyBytes = shared.settings.limits.bodyBytes;
     options.maxConnections = static_cast<std::size_t>(shared.settings.limits.openConnections);
     options.idleTimeout = shared.settings.timeouts.idleConnection;
+    options.bodyTimeout = kBodyTimeout;
     options.receiveBufferBytes = http::kCallerReceiveBytes;
     options.bodyReceiveBufferBytes = http::kBodyReceiveBytes;
     options.sendBufferBytes = http::kCallerSendBytes;
