--- a/src/http/request_framing_fuzz.cc
+++ b/src/http/request_framing_fuzz.cc
@@ -68,6 +68,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer gives the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     if (size < 2) {
