--- a/tests/untrusted_callers_test.cc
+++ b/tests/untrusted_callers_test.cc
@@ -2,7 +2,7 @@
 // memory lives, stays within its bounds, and answers an ordinary request while they are connected.
 
 #include "tests/support/body_loads.h"
-#include "tests/support/process_usage.h"
+#include "tests/support/load_bounds.h"
 #include "tests/support/sample.h"
 #include "tests/support/testbed.h"
 
@@ -10,23 +10,18 @@
 
 #include <criterion/criterion.h>
 
-#include <thread>
-
 using namespace mimosahub::testing;
-using namespace std::chrono_literals;
 
 namespace
 {
 
 constexpr int kMemoryMb = 64; ///< The daemon's limit, by its settings.
-constexpr std::size_t kMaxMemory = std::size_t(kMemoryMb) << 20U;
+constexpr LoadBounds kBounds{.memory = std::size_t(kMemoryMb) << 20U};
 constexpr std::size_t kMaxBody = std::size_t(4) << 20U; ///< By the settings' default.
 constexpr std::size_t kBlock = std::size_t(64) << 10U;
 constexpr std::size_t kMebibyte = std::size_t(1) << 20U;
 constexpr int kClients = 48; ///< Whose bodies together are three times the daemon's memory.
 constexpr int kManyClients = 300;
-constexpr std::size_t kOtherDescriptors = 128; ///< Besides two for each client.
-constexpr auto kLoadTime = 5s; ///< In which the clients send.
 
 BodyLoads bookings()
 {
@@ -63,23 +58,7 @@
     }
     void expectBounded(const ClientBytes &bytes, const ClientLoadOptions &options)
     {
-        const UsagePeaks peaks(m_daemon->process->pid());
-        const ClientLoad clients(options, bytes);
-        cr_assert(clients.connected() == options.count);
-        const auto until = std::chrono::steady_clock::now() + kLoadTime;
-        while (clients.ended() < options.count && std::chrono::steady_clock::now() < until) {
-            std::this_thread::sleep_for(50ms);
-        }
-        std::this_thread::sleep_for(3s);
-        expectServing();
-        const auto resident = peakResident(m_daemon->process->pid());
-        cr_expect(m_daemon->process->running());
-        cr_expect(resident < kMaxMemory, "%zu bytes resident", resident);
-        cr_expect(peaks.memory() < kMaxMemory, "%zu bytes with the kernel's", peaks.memory());
-        const auto maxDescriptors = 2 * static_cast<std::size_t>(options.count) + kOtherDescriptors;
-        cr_expect(peaks.descriptors() < maxDescriptors, "%zu descriptors", peaks.descriptors());
-        printf("%d of %d clients ended, peaks: %zu bytes resident, %zu in the kernel, %zu together, %zu descriptors\n",
-               clients.ended(), options.count, resident, peaks.kernel(), peaks.memory(), peaks.descriptors());
+        mimosahub::testing::expectBounded(*m_daemon->process, bytes, options, kBounds, [this] { expectServing(); });
     }
     void expectServing()
     {
@@ -197,5 +176,5 @@
         const auto reply = perform(call);
         cr_expect(reply.status == 200 && reply.whole, "%d: %s", reply.status, reply.body.substr(0, 200).c_str());
     }
-    cr_expect(peakResident(small.process().process->pid()) < kMaxMemory);
+    cr_expect(peakResident(small.process().process->pid()) < kBounds.memory);
 }
