Hold answers beyond their size against their endpoints again

Found by reading the diff; no test shows it. Only streams are lost for lack of memory now; whole answers count as before.

--- a/src/forward/retry_obstacle.h
+++ b/src/forward/retry_obstacle.h
@@ -56,7 +56,7 @@
     BrokenOff, ///< The endpoint closed the connection or sent something invalid.
     Silence, ///< The endpoint sent nothing for as long as was waited.
     CallerGone, ///< The caller does not read any more.
-    NoMemory, ///< This daemon had no memory for it.
+    NoMemory, ///< This daemon had no memory for the stream.
     InternalError, ///< The handler of the request failed.
 };
 
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -45,9 +45,6 @@
 
 SendLoss lossOf(const absl::Status &status)
 {
-    if (absl::IsResourceExhausted(status)) {
-        return SendLoss::NoMemory;
-    }
     return absl::IsDeadlineExceeded(status) ? SendLoss::Silence : SendLoss::BrokenOff;
 }
 
