Let go of a caller's connection when its answer is written

The memory of an answer of the own interface may outlive its caller's connection, as a keyed call goes on when its caller leaves. It stayed marked as waiting for its reader, with a reference to the connection, so that the account could have ended it through an object that is gone. Found by reading the diff; no test shows it. Both marks now end with the write.

--- a/src/daemon/answer_sink.cc
+++ b/src/daemon/answer_sink.cc
@@ -24,6 +24,32 @@
     return head;
 }
 
+/// Memory of an answer while it is written: it may be ended if its caller takes nothing. The memory may
+/// outlive the exchange.
+class WrittenMemory
+{
+public:
+    WrittenMemory(std::shared_ptr<http::MemoryHold> memory, http::Exchange &exchange) : m_memory(std::move(memory))
+    {
+        if (m_memory) {
+            m_memory->setOnEnd([&exchange] { exchange.cut(); });
+            m_memory->setBlocked(true);
+        }
+    }
+    ~WrittenMemory()
+    {
+        if (m_memory) {
+            m_memory->setBlocked(false);
+            m_memory->setOnEnd(nullptr);
+        }
+    }
+    WrittenMemory(const WrittenMemory &) = delete;
+    WrittenMemory &operator=(const WrittenMemory &) = delete;
+
+private:
+    std::shared_ptr<http::MemoryHold> m_memory;
+};
+
 } // namespace
 
 http::Response refusalResponse(const Refusal &refusal, const RequestId &id)
@@ -65,6 +91,9 @@
 void AnswerSink::finishWhole(http::Response response, std::shared_ptr<http::MemoryHold> memory)
 {
     m_memory = std::move(memory);
+    if (m_memory) {
+        m_memory->setOnEnd(nullptr); // Nothing is read any more.
+    }
     m_whole = std::move(response);
     m_end = End::Whole;
     m_wake.cancel();
@@ -96,10 +125,7 @@
         co_await http::sleepOn(m_wake);
     }
     if (m_end == End::Whole) {
-        if (m_memory) {
-            m_memory->setOnEnd([&exchange] { exchange.cut(); });
-            m_memory->setBlocked(true);
-        }
+        const WrittenMemory written(m_memory, exchange);
         co_return (co_await exchange.respond(std::move(*m_whole))).ok();
     }
     if (!(co_await exchange.startStream(streamHead(id))).ok()) {
