Bound what a rollout's target gets until the deadline, and test it under load until then

Cause: VersionSplit bounded what the target had been sent so far, up to the phase load-test. Moving (1.5 s), Completed and the three seconds until the deadline were in no account, so that any version broke the limit whose fault showed after moving had begun. The load test itself spent the limit in a second and went on with a fifth of the load.

Evidence: the log lines rollout-phase of the case show 82 to 95 sends when moving begins, within the limit, and all others after it.

Change: the limit pays for one load test, which lasts until the deadline. ExposureBudget sums the sends that daemons report, predicts what the target gets by the deadline, and grants each daemon a cap on its sends ten times a second. The verdict falls 0.45 to 0.2 s before the deadline, if the rest of the limit pays for all requests until then. The phase completing, in place of moving, lasts until the store holds the status, and a fault still rolls back. A trial takes a tenth of the share in place of half, and the coordinator tells which routes it has tried. What a send counts moves into a file of its own.

Why it works: the target's sum until the deadline is what the coordinator has granted and, after the verdict, what the rest of the limit was found to pay for; how or when the version fails doesn't enter.

The property of the limit without a message is stricter: 0.6 of the limit, since the load test has the rest.

--- a/schema/stage.capnp
+++ b/schema/stage.capnp
@@ -70,6 +70,8 @@
   phase @6 :UInt8;
   fault @7 :Text;
   routes @8 :List(RouteOutcomes);
+  targetSends @9 :UInt64;
+  oldSends @10 :UInt64;
 }
 
 struct CrashReport {
@@ -147,7 +149,7 @@
   release @1 (service :Text, handles :List(Text)) -> ();
   ping @2 () -> (loads :List(BatchLoad));
   readTable @3 (table :UInt8, from :UInt64, era :UInt64) -> (known :Bool, ageUs :Int64, next :UInt64, records :List(TableRecord), documents :UInt64, era :UInt64, documentsEra :UInt64);
-  reportSplit @4 (report :SplitReport) -> (known :Bool, phase :UInt8, reason :Text);
+  reportSplit @4 (report :SplitReport) -> (known :Bool, phase :UInt8, reason :Text, targetCap :UInt64, triedRoutes :List(Text));
   exchangeQuarantines @5 (message :QuarantineMessage) -> (message :QuarantineMessage);
   tellLeaving @6 (endpoints :List(EndpointStart)) -> ();
   reportDuties @7 (report :DutyReport) -> (incarnation :UInt64, token :UInt64);
--- a/src/forward/split_judge.cc
+++ b/src/forward/split_judge.cc
@@ -1,8 +1,17 @@
-// The target gets a small share for most of the time, so that a fault that comes late is
-// found while few callers meet it. Then all requests go there as far as the exposure
-// limit allows, which shows a version that is faulty under load; and only after that
-// without a limit, for the old endpoints' last answers. A phase has shown nothing until
-// half of the daemons have reported since it began: reports from before it end no phase.
+// The target gets a few requests for most of the time, so that a plain fault is found while
+// few callers meet it. What is left of the exposure limit then pays for one load test, in
+// which all requests go to the target: it begins as late as the limit lasts until the
+// deadline at the present rate. The verdict falls shortly before the deadline. So the
+// target gets no more than the limit by the deadline, however and whenever it fails, and
+// every version is seen under its whole load for as long as the limit allows at all. What
+// shows only after a longer time under load isn't seen.
+//
+// If the rate rises, the load test is broken off and begins again where the rest of the
+// limit lasts. A verdict for the target is final only once the store holds it: until then
+// a fault still rolls it back.
+//
+// A phase has shown nothing until half of the daemons have reported since it began:
+// reports from before it end no phase.
 //
 // Reports hold totals, so that a coordinator that takes over has all counts with the
 // next report of each daemon. Time is that since the order was read, by the daemon that
@@ -31,8 +40,18 @@
 constexpr std::int64_t kKnownRoute = 20; ///< Outcomes of the old version on a route that the target must know too.
 constexpr double kRouteExcess = 0.3;
 constexpr double kStandardErrors = 1.5; ///< Of the old version's rate, which count as chance.
-constexpr double kMovingShare = 1.0;
-constexpr double kTestShare = 0.5; ///< Of the requests that the target gets in trial and load test, at most.
+/// Share of the target that the tests are told. Below the one from which they ask to have an alarm confirmed
+/// by outcomes of both versions: a trial can't show whether the target fails under load.
+constexpr double kEvidenceShare = 0.5;
+constexpr Duration kLateWindows[] = {500ms, 1s}; ///< Of the newest outcomes, which are looked at by themselves.
+constexpr std::int64_t kLeastLateHits = 3; ///< Fewer bad answers among them may be chance.
+constexpr double kLateExcess = 0.2;
+constexpr std::int64_t kTrialOutcomes = 8; ///< Of the target, from which a route is tried.
+constexpr std::size_t kMostTriedRoutes = 32; ///< That a decision lists.
+constexpr Duration kLongestLoadTest = 10s;
+constexpr Duration kReportInterval = 300ms;
+constexpr Duration kLateReportInterval = 100ms; ///< In a load test, and shortly before one.
+constexpr Duration kLateTime = 5s; ///< Before the deadline.
 
 VersionPolicy policy()
 {
@@ -82,7 +101,7 @@
     if (outcomes.to.finished >= kLeastOfRareRoute) {
         return outcomes.to.failed < kLeastOfRareRoute || isNear(outcomes, &VersionOutcomes::failed, kRouteExcess);
     }
-    return outcomes.from.finished < kKnownRoute;
+    return true;
 }
 
 /// \a fraction of \a duration, but \a longest at most.
@@ -93,40 +112,76 @@
 
 } // namespace
 
+Duration splitReportInterval(SplitPhase phase, Duration remaining)
+{
+    const bool late = remaining > Duration::zero() && remaining < kLateTime;
+    return phase == SplitPhase::LoadTest || late ? kLateReportInterval : kReportInterval;
+}
+
 SplitJudge::Schedule SplitJudge::scheduleOf(Duration duration)
 {
     Schedule schedule;
-    schedule.lastCall = duration - part(duration, 0.07, 1s);
-    schedule.completion = duration - part(duration, 0.15, 3s);
-    schedule.moving = schedule.completion - part(duration, 0.1, 1500ms);
-    schedule.loadTest = schedule.moving - part(duration, 0.15, 3s);
+    schedule.lastCall = duration - part(duration, 0.04, 200ms);
+    schedule.verdict = duration - part(duration, 0.09, 450ms);
+    schedule.loadTest = duration - part(duration, 0.5, kLongestLoadTest);
+    schedule.leastLoadTest = part(duration, 0.03, 300ms);
     return schedule;
 }
 
-SplitJudge::SplitJudge(Duration duration)
-    : m_schedule(scheduleOf(duration)), m_duration(duration), m_evidence(policy(), evidenceOptions())
+SplitJudge::SplitJudge(Duration duration, const ExposureLimit &limit)
+    : m_schedule(scheduleOf(duration)), m_duration(duration), m_budget(limit), m_evidence(policy(), evidenceOptions())
 {
     m_decision.phase = SplitPhase::Trial;
 }
 
 void SplitJudge::take(const SplitReport &report, TimePoint now)
 {
-    m_sources[absl::StrCat(report.daemon.str(), " ", report.incarnation)] = {report, now};
+    m_sources[report.run] = {report, now};
+    m_budget.take(report.run, report.sends, report.elapsed, now);
     if (!m_begin) {
         m_begin = now;
     }
     // As the last coordinator decided.
     if (report.phase == SplitPhase::Completed && !isSettled(m_decision.phase)) {
-        settle(SplitPhase::Completed, "another coordinator has completed it");
-    } else if (!isSettled(m_decision.phase) && !isSettled(report.phase)) {
+        settle(SplitPhase::Completed, "the store holds it");
+    } else if (!m_hasFollowed && !isSettled(m_decision.phase) && !isSettled(report.phase)) {
         enter(std::max(m_decision.phase, report.phase), now);
     }
 }
 
-void SplitJudge::enter(SplitPhase phase, TimePoint now)
+SplitDecision SplitJudge::decisionFor(const DaemonRun &run, TimePoint now)
+{
+    auto decision = m_decision;
+    if (decision.phase == SplitPhase::LoadTest) {
+        decision.targetCap = m_budget.grantCap(run, now);
+    } else if (decision.phase == SplitPhase::Trial) {
+        decision.triedRoutes = m_triedRoutes;
+    }
+    return decision;
+}
+
+std::vector<RouteId> SplitJudge::triedRoutes() const
+{
+    std::vector<std::pair<std::int64_t, RouteId>> tried;
+    for (const auto &[route, outcomes] : m_total) {
+        if (outcomes.to.finished >= kTrialOutcomes) {
+            tried.emplace_back(outcomes.finished(), route.caller);
+        }
+    }
+    std::sort(tried.rbegin(), tried.rend());
+    tried.resize(std::min(tried.size(), kMostTriedRoutes));
+    std::vector<RouteId> routes;
+    for (const auto &[finished, route] : tried) {
+        routes.push_back(route);
+    }
+    return routes;
+}
+
+void SplitJudge::enter(SplitPhase phase, TimePoint now, std::string reason)
 {
     if (phase != m_decision.phase) {
         m_decision.phase = phase;
+        m_decision.reason = std::move(reason);
         m_phaseBegan = now;
     }
 }
@@ -145,7 +200,7 @@
 RouteOutcomes SplitJudge::sum() const
 {
     RouteOutcomes sum;
-    for (const auto &[route, outcomes] : total()) {
+    for (const auto &[route, outcomes] : m_total) {
         sum += outcomes;
     }
     return sum;
@@ -168,26 +223,38 @@
 }
 
 // That the tests found no fault isn't enough where there are few outcomes.
-bool SplitJudge::looksSound() const
+bool SplitJudge::hasEvidenceAgainst() const
 {
     if (m_evidence.hasUnconfirmedAlarm()) {
-        return false;
+        return true;
     }
     RouteOutcomes sum;
-    for (const auto &[route, outcomes] : total()) {
+    for (const auto &[route, outcomes] : m_total) {
         sum += outcomes;
         if (!looksSoundOnRoute(outcomes)) {
+            return true;
+        }
+    }
+    return sum.to.finished >= kLeastOutcomes && !isNear(sum, kExcess);
+}
+
+bool SplitJudge::isKnownWell() const
+{
+    RouteOutcomes sum;
+    for (const auto &[route, outcomes] : m_total) {
+        sum += outcomes;
+        if (outcomes.to.finished < kLeastOfRareRoute && outcomes.from.finished >= kKnownRoute) {
             return false;
         }
     }
-    return sum.to.finished >= kLeastOutcomes && isNear(sum, kExcess);
+    return sum.to.finished >= kLeastOutcomes;
 }
 
 void SplitJudge::findFault(TimePoint now)
 {
-    const double share = m_decision.phase == SplitPhase::Moving ? kMovingShare : kTestShare;
     const auto since = m_begin ? Duration(now - *m_begin) : Duration::zero();
-    m_evidence.addCounts(total(), share, WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(since)));
+    m_evidence.addCounts(m_total, kEvidenceShare,
+                         WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(since)));
     if (m_evidence.fault()) {
         settle(SplitPhase::RolledBack, *m_evidence.fault());
         return;
@@ -202,7 +269,8 @@
 
 void SplitJudge::settle(SplitPhase phase, std::string reason)
 {
-    m_decision = {phase, std::move(reason)};
+    m_decision.phase = phase;
+    m_decision.reason = std::move(reason);
 }
 
 const SplitDecision &SplitJudge::decide(int daemons, TimePoint now)
@@ -210,6 +278,8 @@
     if (isSettled(m_decision.phase)) {
         return m_decision;
     }
+    m_budget.setDaemons(daemons);
+    m_total = total();
     findFault(now);
     if (isSettled(m_decision.phase)) {
         return m_decision;
@@ -222,28 +292,112 @@
     return m_decision;
 }
 
-// One phase at a time: a coordinator that takes over late tests under load too.
+// A coordinator that takes over goes on with the phase that the daemons have reported.
 void SplitJudge::follow(int daemons, TimePoint now)
 {
-    const bool sound = looksSound();
-    const bool phaseShown = heardMost(daemons, m_phaseBegan);
+    m_hasFollowed = true;
+    m_triedRoutes = triedRoutes();
+    recordSample(now);
+    switch (m_decision.phase) {
+    case SplitPhase::LoadTest:
+        followLoadTest(daemons, now);
+        break;
+    case SplitPhase::Completing: // Until the store holds it.
+        break;
+    default:
+        followTrial(now);
+        break;
+    }
+}
+
+void SplitJudge::followTrial(TimePoint now)
+{
     const auto elapsed = this->elapsed(now);
-    const auto outcomes = sum().to;
-    if (m_decision.phase == SplitPhase::Moving && sound && phaseShown && elapsed >= m_schedule.completion) {
-        settle(SplitPhase::Completed,
-               absl::StrCat("no fault in ", outcomes.finished, " outcomes, of which ", outcomes.failed, " failed and ",
-                            outcomes.slow, " were slow"));
+    if (elapsed >= m_schedule.lastCall) {
+        settle(SplitPhase::RolledBack, absl::StrCat("too little is known by the deadline: ", describeOutcomes()));
+    } else if (elapsed >= m_schedule.loadTest && !hasEvidenceAgainst()
+               && m_budget.mayStart(m_duration - elapsed, m_duration - m_schedule.verdict, now)) {
+        enter(SplitPhase::LoadTest, now, describeBudget(now));
+    } else {
+        enter(SplitPhase::Trial, now);
+    }
+}
+
+void SplitJudge::followLoadTest(int daemons, TimePoint now)
+{
+    const auto elapsed = this->elapsed(now);
+    if (m_evidence.hasUnconfirmedAlarm()) {
+        takeAlarm(now);
+    } else if (elapsed >= m_schedule.verdict && mayComplete(daemons, now)) {
+        enter(SplitPhase::Completing, now, absl::StrCat("no fault in ", describeOutcomes()));
     } else if (elapsed >= m_schedule.lastCall) {
         settle(SplitPhase::RolledBack,
-               absl::StrCat("too little is known by the deadline: ", outcomes.finished, " outcomes, of which ",
-                            outcomes.failed, " failed and ", outcomes.slow, " were slow"));
-    } else if (!sound) {
-        enter(SplitPhase::Trial, now);
-    } else if (m_decision.phase == SplitPhase::LoadTest && phaseShown && elapsed >= m_schedule.moving) {
-        enter(SplitPhase::Moving, now);
-    } else if (m_decision.phase < SplitPhase::LoadTest) {
-        enter(elapsed >= m_schedule.loadTest ? SplitPhase::LoadTest : SplitPhase::Trial, now);
+               absl::StrCat("not shown sound by the deadline: ", describeOutcomes(), "; ", describeBudget(now)));
+    } else if (m_budget.isOverdrawn(m_duration - elapsed, now)) {
+        enter(SplitPhase::Trial, now, absl::StrCat("more requests than expected: ", describeBudget(now)));
+    }
+}
+
+// Before the deadline there is neither the time nor the limit for another load test.
+void SplitJudge::takeAlarm(TimePoint now)
+{
+    auto reason = absl::StrCat("an alarm in the load test: ", describeOutcomes());
+    if (m_duration - elapsed(now) < kLateTime) {
+        settle(SplitPhase::RolledBack, std::move(reason));
+    } else {
+        enter(SplitPhase::Trial, now, std::move(reason));
+    }
+}
+
+// After a verdict for the target nothing bounds what it gets: the rest of the limit must pay for all
+// requests until the deadline.
+bool SplitJudge::mayComplete(int daemons, TimePoint now) const
+{
+    return now - m_phaseBegan >= m_schedule.leastLoadTest && heardMost(daemons, m_phaseBegan) && isKnownWell()
+        && !hasEvidenceAgainst() && !isWorseOfLate() && m_budget.mayFinish(m_duration - elapsed(now), now);
+}
+
+void SplitJudge::recordSample(TimePoint now)
+{
+    m_samples.push_back({now, sum().to});
+    while (m_samples.size() > 1 && m_samples[1].at <= now - kLateWindows[1]) {
+        m_samples.pop_front();
+    }
+}
+
+// What turns bad at the end of the load test is a small part of all outcomes.
+bool SplitJudge::isWorseOfLate() const
+{
+    const auto sum = this->sum();
+    for (const auto window : kLateWindows) {
+        const auto begin = std::find_if(m_samples.begin(), m_samples.end(),
+                                        [&](const Sample &sample) { return sample.at > m_samples.back().at - window; });
+        const auto &before = begin == m_samples.begin() ? *begin : *std::prev(begin);
+        const RouteOutcomes late{sum.from, difference(sum.to, before.target)};
+        for (const auto hits : {&VersionOutcomes::failed, &VersionOutcomes::slow}) {
+            if (late.to.*hits >= kLeastLateHits && !isNear(late, hits, kLateExcess)) {
+                return true;
+            }
+        }
     }
+    return false;
+}
+
+std::string SplitJudge::describeBudget(TimePoint now) const
+{
+    const auto remaining = std::max(Duration::zero(), Duration(m_duration - elapsed(now)));
+    return absl::StrCat("the target had ", std::llround(m_budget.targetSends(now)), " of ",
+                        std::llround(m_budget.allowed(remaining, now)),
+                        " requests allowed by the deadline, which is in ",
+                        std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count(), " ms, and ",
+                        std::llround(m_budget.rate(now)), " a second come");
+}
+
+std::string SplitJudge::describeOutcomes() const
+{
+    const auto outcomes = sum().to;
+    return absl::StrCat(outcomes.finished, " outcomes, of which ", outcomes.failed, " failed and ", outcomes.slow,
+                        " were slow");
 }
 
 } // namespace mimosahub
--- a/src/forward/version_split.cc
+++ b/src/forward/version_split.cc
@@ -1,8 +1,8 @@
-// Each daemon bounds the target's sends by a fraction of its own sends. Sums of such
-// bounds over any set of daemons are bounded by the same fraction of the sum, so a
-// daemon that is cut off can't exceed the limit, and neither can one that restarts.
-// The fraction is below the limit's, since requests that were sent before the order was
-// read aren't counted.
+// In a trial each daemon bounds the target's sends by a fraction of its own sends. Sums of
+// such bounds over any set of daemons are bounded by the same fraction of the sum, so a
+// daemon that is cut off can't exceed it, and neither can one that restarts. A trial uses
+// little of the limit: what it leaves is the time for which all requests may go to the
+// target before the deadline, and only that shows a fault under load.
 
 #include "forward/version_split.h"
 
@@ -14,10 +14,10 @@
 namespace
 {
 
-constexpr double kTrialPart = 0.5; ///< Of the limit's share that a trial uses.
+constexpr double kTrialPart = 0.1; ///< Of the limit's share, for routes that are tried already.
 constexpr std::uint64_t kTrialSends = 8; ///< After which a route is tried, over all daemons.
-constexpr double kSharePart = 0.8; ///< Of the limit's share that is ever used.
-constexpr double kSlackPart = 0.4; ///< Of the limit's slack that is ever used.
+constexpr std::uint64_t kLeastTrialSends = 3; ///< Of one daemon, where others may have no requests of the route.
+constexpr double kLimitPart = 0.4; ///< Of the limit, before the load test.
 
 } // namespace
 
@@ -30,8 +30,8 @@
         return "trial";
     case SplitPhase::LoadTest:
         return "load-test";
-    case SplitPhase::Moving:
-        return "moving";
+    case SplitPhase::Completing:
+        return "completing";
     case SplitPhase::Completed:
         return "completed";
     case SplitPhase::RolledBack:
@@ -45,25 +45,32 @@
     m_daemons = std::max(1, daemons);
 }
 
-bool VersionSplit::withinLimit() const
+bool VersionSplit::withinTrialLimit() const
 {
-    const auto all = static_cast<double>(m_targetSends + m_oldSends);
-    const double limit = kSharePart * m_limit.share * all + kSlackPart * m_limit.slack / m_daemons;
-    return static_cast<double>(m_targetSends) + 1.0 <= limit;
+    const ExposureLimit own{m_limit.share, m_limit.slack / m_daemons};
+    const double limit = kLimitPart * own.allowed(static_cast<double>(m_sends.all()));
+    return static_cast<double>(m_sends.target) + 1.0 <= limit + m_rounding;
 }
 
-// Every other request of a route goes to the target until the route is tried there.
+bool VersionSplit::isTried(const RouteId &route, const SplitSends &sends) const
+{
+    return m_tried.contains(route)
+        || sends.target >= std::max(kLeastTrialSends, kTrialSends / static_cast<std::uint64_t>(m_daemons));
+}
+
+// Every other request of a route goes to the target until the route is tried there. With
+// many daemons only some of them send any, until the coordinator says that it is tried.
 bool VersionSplit::drawTrial(const RouteId &route, Random &random) const
 {
     const auto it = m_routes.find(route);
-    const auto sends = it == m_routes.end() ? RouteSends() : it->second;
-    if (sends.target * static_cast<std::uint64_t>(m_daemons) < kTrialSends) {
-        return sends.target <= sends.old;
+    const auto sends = it == m_routes.end() ? SplitSends() : it->second;
+    if (!isTried(route, sends)) {
+        return sends.target <= sends.old && random.uniform() * m_daemons < static_cast<double>(kTrialSends);
     }
     // What untried routes have had counts towards the trial's share.
     const double share = kTrialPart * m_limit.share;
-    const auto all = static_cast<double>(m_targetSends + m_oldSends);
-    return random.uniform() < share && static_cast<double>(m_targetSends) <= share * all + 1.0;
+    return random.uniform() < share
+        && static_cast<double>(m_sends.target) <= share * static_cast<double>(m_sends.all()) + 1.0;
 }
 
 bool VersionSplit::drawTarget(const RouteId &route, Random &random) const
@@ -73,10 +80,10 @@
     case SplitPhase::RolledBack:
         return false;
     case SplitPhase::Trial:
-        return withinLimit() && drawTrial(route, random);
+        return withinTrialLimit() && drawTrial(route, random);
     case SplitPhase::LoadTest:
-        return withinLimit();
-    case SplitPhase::Moving:
+        return m_sends.target < m_targetCap;
+    case SplitPhase::Completing:
     case SplitPhase::Completed:
         return true;
     }
@@ -90,9 +97,10 @@
         return false;
     case SplitPhase::Paused:
     case SplitPhase::Trial:
+        return withinTrialLimit();
     case SplitPhase::LoadTest:
-        return withinLimit();
-    case SplitPhase::Moving:
+        return m_sends.target < m_targetCap;
+    case SplitPhase::Completing:
     case SplitPhase::Completed:
         return true;
     }
--- a/src/forward/version_split_test.cc
+++ b/src/forward/version_split_test.cc
@@ -15,17 +15,18 @@
 
 } // namespace
 
-// Whatever phases the daemons are in, and however their requests are distributed, the
-// target gets no more than its limit until the rollout moves all requests.
+// Whatever phases the daemons are in, and however their requests are distributed, the target gets no
+// more than its limit without a message; and what a trial leaves pays for a load test.
 Test(version_split, daemons_keep_the_limit_together_without_a_message)
 {
     cr_assert(rc::check([] {
         const ExposureLimit limit{0.1, 50.0};
         const int daemons = *rc::gen::inRange(1, 80);
-        std::vector<VersionSplit> splits(static_cast<std::size_t>(daemons), VersionSplit(limit));
         Random random(*rc::gen::arbitrary<std::uint64_t>());
-        for (auto &split : splits) {
-            split.setDaemons(daemons);
+        std::vector<VersionSplit> splits;
+        for (int i = 0; i < daemons; ++i) {
+            splits.emplace_back(limit, random.uniform());
+            splits.back().setDaemons(daemons);
         }
         int target = 0;
         int all = 0;
@@ -41,14 +42,30 @@
             } else {
                 split.recordOldSend(kRoute);
             }
-            RC_ASSERT(target <= limit.share * (all + 1) + limit.slack);
+            RC_ASSERT(target <= 0.6 * limit.allowed(all + 1));
         }
     }));
 }
 
+Test(version_split, a_load_test_uses_the_target_up_to_its_cap)
+{
+    VersionSplit split({0.1, 50.0}, 0.0);
+    Random random(1);
+    split.setPhase(SplitPhase::LoadTest);
+    for (const std::uint64_t cap : {0U, 7U, 20U}) {
+        split.setTargetCap(cap);
+        while (split.drawTarget(kRoute, random)) {
+            cr_assert(split.mayUseTarget());
+            split.recordTargetSend(kRoute);
+        }
+        cr_assert(!split.mayUseTarget());
+        cr_assert_eq(split.sends().target, cap);
+    }
+}
+
 Test(version_split, a_version_gets_nothing_after_its_rollback)
 {
-    VersionSplit split({0.1, 50.0});
+    VersionSplit split({0.1, 50.0}, 0.0);
     Random random(1);
     for (const auto phase : {SplitPhase::Paused, SplitPhase::RolledBack}) {
         split.setPhase(phase);
@@ -60,21 +77,23 @@
     cr_assert(!split.mayUseTarget());
 }
 
-Test(version_split, a_trial_uses_half_of_the_share)
+// The rest of the limit is for the load test.
+Test(version_split, a_trial_uses_a_tenth_of_the_share)
 {
-    VersionSplit split({0.1, 50.0});
+    VersionSplit split({0.1, 50.0}, 0.0);
     Random random(1);
     split.setPhase(SplitPhase::Trial);
     for (int i = 0; i < 10'000; ++i) {
         split.drawTarget(kRoute, random) ? split.recordTargetSend(kRoute) : split.recordOldSend(kRoute);
     }
-    cr_assert(split.targetSends() > 400 && split.targetSends() < 600, "%d", static_cast<int>(split.targetSends()));
+    const auto sends = split.sends().target;
+    cr_assert(sends > 80 && sends < 120, "%d", static_cast<int>(sends));
 }
 
 // What little comes on a rare route is enough to see a fault there.
 Test(version_split, a_trial_begins_with_half_of_each_routes_first_requests)
 {
-    VersionSplit split({0.1, 50.0});
+    VersionSplit split({0.1, 50.0}, 0.0);
     Random random(1);
     split.setPhase(SplitPhase::Trial);
     const RouteId rare("rare");
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include "gateway/forwarded_request.h"
 
 #include "base/log.h"
+#include "gateway/counted_send.h"
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -22,11 +22,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kTick = 300ms;
-constexpr double kTickSpread = 0.2;
-constexpr const char *kAnyZone = "any"; ///< Outcomes are compared by route only.
+constexpr double kIntervalSpread = 0.2;
 constexpr int kAllDaemons = std::numeric_limits<int>::max(); ///< More than ever report to a judge of own counts.
-constexpr Duration kDecisionAge = 150ms; ///< Sums over all daemons are not made for each report.
+constexpr int kDecisionsPerInterval = 2; ///< Sums over all daemons are not made for each report.
 constexpr Duration kNewsAge = 2s; ///< Without a decision for so long, a daemon pauses.
 
 SplitPhase phaseOf(RolloutStage stage)
@@ -108,7 +106,7 @@
         active->rollout = order.id;
     }
     if (!active || active->rollout != order.id) {
-        active = std::make_unique<Active>(order, *m_limit, now);
+        active = std::make_unique<Active>(order, *m_limit, m_random.uniform(), now);
         active->newsAt = now - kNewsAge;
         logEvent(LogLevel::Info, "rollout-begun")
             .with("service", order.id.service)
@@ -165,18 +163,33 @@
     return VersionFilter{active->rollout.target, phase == SplitPhase::Completed};
 }
 
+bool RolloutDirector::isUnsettled(const Active &active) const
+{
+    return !isSettled(active.split.phase()) || !active.status || *active.status == RolloutStage::Running;
+}
+
+Duration RolloutDirector::reportInterval(const Active &active) const
+{
+    const Duration elapsed = m_clock.now() - active.begin;
+    return splitReportInterval(active.split.phase(), active.duration - elapsed);
+}
+
 void RolloutDirector::armTick()
 {
-    const auto unsettled = std::count_if(m_active.begin(), m_active.end(), [](const auto &item) {
-        return !isSettled(item.second->split.phase()) || !item.second->status
-            || *item.second->status == RolloutStage::Running;
-    });
+    int unsettled = 0;
+    auto interval = Duration::max();
+    for (const auto &[service, active] : m_active) {
+        if (isUnsettled(*active)) {
+            ++unsettled;
+            interval = std::min(interval, reportInterval(*active));
+        }
+    }
     m_unsettled.set(static_cast<double>(unsettled));
     if (m_armed || unsettled == 0 || !m_timer) {
         return;
     }
     m_armed = true;
-    m_timer->expires_after(m_random.jitter(kTick, kTickSpread));
+    m_timer->expires_after(m_random.jitter(interval, kIntervalSpread));
     m_timer->async_wait([this](const boost::system::error_code &ec) {
         if (!ec) {
             m_armed = false;
@@ -237,11 +250,11 @@
 {
     SplitReport report;
     report.rollout = active.rollout;
-    report.daemon = m_self;
-    report.incarnation = m_incarnation;
+    report.run = {m_self, m_incarnation};
     report.elapsed = m_clock.now() - active.begin;
     report.phase = active.split.phase();
     report.fault = report.phase == SplitPhase::RolledBack ? active.reason : active.fault;
+    report.sends = active.split.sends();
     report.counts = active.counts;
     return report;
 }
@@ -253,15 +266,15 @@
         return std::nullopt;
     }
     if (isSettled(active->split.phase())) {
-        return SplitDecision{active->split.phase(), active->reason};
+        return SplitDecision{active->split.phase(), active->reason, 0, {}};
     }
     const auto now = m_clock.now();
     active->judge.take(report, now);
-    if (now - active->decidedAt >= kDecisionAge) {
+    if (now - active->decidedAt >= reportInterval(*active) / kDecisionsPerInterval) {
         active->decidedAt = now;
         static_cast<void>(active->judge.decide(m_daemons, now));
     }
-    return active->judge.decision();
+    return active->judge.decisionFor(report.run, now);
 }
 
 void RolloutDirector::takeDecision(Active &active, const SplitDecision &decision)
@@ -271,6 +284,8 @@
     if (!active.status && !isSettled(decision.phase)) {
         return;
     }
+    active.split.setTargetCap(decision.targetCap);
+    active.split.setTriedRoutes(decision.triedRoutes);
     enter(active, decision.phase, decision.reason);
 }
 
@@ -305,8 +320,8 @@
         .with("before", splitPhaseName(before))
         .with("reason", active.reason)
         .with("elapsed", Duration(m_clock.now() - active.begin))
-        .with("target_sends", active.split.targetSends())
-        .with("old_sends", active.split.oldSends())
+        .with("target_sends", active.split.sends().target)
+        .with("old_sends", active.split.sends().old)
         .with("target_outcomes", sum.to.finished)
         .with("target_failed", sum.to.failed)
         .with("target_slow", sum.to.slow)
@@ -322,108 +337,13 @@
     if (active.status && *active.status != RolloutStage::Running) {
         return;
     }
-    if (isSettled(phase)) {
-        const auto stage = phase == SplitPhase::Completed ? RolloutStage::Completed : RolloutStage::RolledBack;
-        m_callbacks.wantStatus({active.rollout, stage, coordinates});
+    if (phase == SplitPhase::Completing || phase == SplitPhase::Completed) {
+        m_callbacks.wantStatus({active.rollout, RolloutStage::Completed, coordinates});
+    } else if (phase == SplitPhase::RolledBack) {
+        m_callbacks.wantStatus({active.rollout, RolloutStage::RolledBack, coordinates});
     } else if (!active.status) {
         m_callbacks.wantStatus({active.rollout, RolloutStage::Running, coordinates});
     }
 }
 
-CountedSend::CountedSend(RolloutDirector &director, const EndpointInfo &endpoint, RouteId route, bool cold)
-    : m_director(director),
-      m_service(endpoint.service),
-      m_route(std::move(route)),
-      m_cold(cold),
-      m_begin(director.m_clock.now())
-{
-    if (auto *known = director.find(m_service)) {
-        m_rollout = known->rollout;
-        m_toTarget = endpoint.version == m_rollout.target;
-        if (m_toTarget) {
-            known->split.recordTargetSend(m_route);
-            director.m_targetSends.add(isSettled(known->split.phase()) ? 0 : 1);
-        }
-    }
-}
-
-CountedSend::~CountedSend()
-{
-    if (m_ended) {
-        return;
-    }
-    auto *known = active();
-    if (known != nullptr && !m_toTarget) {
-        known->split.recordOldSend(m_route);
-    }
-    if (isLate()) {
-        count(false, true);
-    }
-}
-
-RolloutDirector::Active *CountedSend::active()
-{
-    auto *known = m_director.find(m_service);
-    return known != nullptr && known->rollout == m_rollout ? known : nullptr;
-}
-
-void CountedSend::end(SendResult result, const std::optional<AnswerTimes> &times)
-{
-    m_ended = true;
-    auto *known = active();
-    if (known != nullptr && !m_toTarget && result != SendResult::Unreachable) {
-        known->split.recordOldSend(m_route);
-    }
-    switch (result) {
-    case SendResult::Answered:
-        if (times) {
-            answered(*times);
-        }
-        break;
-    case SendResult::ServerError:
-    case SendResult::UnprovenRefusal:
-        count(true, false);
-        break;
-    case SendResult::Lost:
-        if (times || !isLate()) {
-            count(true, false);
-        } else {
-            count(false, true);
-        }
-        break;
-    default:
-        break;
-    }
-}
-
-void CountedSend::answered(const AnswerTimes &times)
-{
-    const auto slow = m_director.m_limits.isSlow(m_route, times);
-    if (!m_toTarget && !m_cold) {
-        m_director.m_limits.record(m_route, times);
-    }
-    if (slow && !m_cold) {
-        count(false, *slow);
-    }
-}
-
-bool CountedSend::isLate() const
-{
-    const auto limit = m_director.m_limits.firstLimit(m_route);
-    return limit && !m_cold && m_director.m_clock.now() - m_begin > *limit;
-}
-
-void CountedSend::count(bool failed, bool slow)
-{
-    auto *known = active();
-    if (known == nullptr) {
-        return;
-    }
-    auto &route = known->counts[RouteKey{m_route.str(), ZoneId(kAnyZone)}];
-    auto &version = m_toTarget ? route.to : route.from;
-    ++version.finished;
-    version.failed += failed ? 1 : 0;
-    version.slow += slow ? 1 : 0;
-}
-
 } // namespace mimosahub
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -3,7 +3,6 @@
 #include "base/metrics.h"
 #include "forward/answer_times.h"
 #include "forward/endpoint_selector.h"
-#include "forward/send_policy.h"
 #include "forward/split_judge.h"
 #include "gateway/gateway_view.h"
 #include "gateway/wanted_status.h"
@@ -19,6 +18,8 @@
 namespace mimosahub
 {
 
+class CountedSend;
+
 /// Where reports on rollouts go. Traffic thread only.
 class RolloutPeers
 {
@@ -71,13 +72,13 @@
 
     /// A service under a rollout.
     struct Active {
-        Active(const GatewayView::Rollout &order, const ExposureLimit &limit, TimePoint now)
+        Active(const GatewayView::Rollout &order, const ExposureLimit &limit, double rounding, TimePoint now)
             : rollout(order.id),
               duration(order.duration),
-              split(limit),
+              split(limit, rounding),
               begin(now),
-              judge(order.duration),
-              own(order.duration)
+              judge(order.duration, limit),
+              own(order.duration, limit)
         {
         }
         RolloutId rollout;
@@ -102,6 +103,8 @@
     void refuseOrder(const RolloutId &rollout);
     void tick();
     void armTick();
+    [[nodiscard]] bool isUnsettled(const Active &active) const;
+    [[nodiscard]] Duration reportInterval(const Active &active) const;
     void look(Active &active);
     void exchange(Active &active);
     void takeDecision(Active &active, const SplitDecision &decision);
@@ -128,34 +131,4 @@
     Gauge &m_unsettled;
 };
 
-/// One send of a request while it is under way. Destroying it without end() counts it as
-/// given up by its caller.
-class CountedSend
-{
-public:
-    /// \a cold: the endpoint is slow since it has just started.
-    CountedSend(RolloutDirector &director, const EndpointInfo &endpoint, RouteId route, bool cold);
-    ~CountedSend();
-    CountedSend(const CountedSend &) = delete;
-    CountedSend &operator=(const CountedSend &) = delete;
-
-    /// Records how the send ended. \a times is absent if no event or whole answer came.
-    void end(SendResult result, const std::optional<AnswerTimes> &times);
-
-private:
-    void count(bool failed, bool slow);
-    void answered(const AnswerTimes &times);
-    [[nodiscard]] bool isLate() const;
-    [[nodiscard]] RolloutDirector::Active *active();
-
-    RolloutDirector &m_director;
-    RolloutId m_rollout; ///< Empty without one.
-    ServiceId m_service;
-    RouteId m_route;
-    bool m_toTarget = false;
-    bool m_cold;
-    bool m_ended = false;
-    TimePoint m_begin;
-};
-
 } // namespace mimosahub
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -94,7 +94,8 @@
 {
     Daemon daemon;
     daemon.show({kOld, kTarget}, RolloutStage::Running);
-    SplitReport report{{kService, kTarget, RolloutRecord(6)}, InstanceId("d2"), 1, 1s, SplitPhase::Trial, "slow", {}};
+    SplitReport report{
+        {kService, kTarget, RolloutRecord(6)}, {InstanceId("d2"), 1}, 1s, SplitPhase::Trial, "slow", {}, {}};
     cr_assert(!daemon.director.takeReport(report));
     report.rollout = kRollout;
     cr_assert(daemon.director.takeReport(report)->phase == SplitPhase::RolledBack);
@@ -110,6 +111,6 @@
     daemon.show({kOld, kTarget}, std::nullopt, rewritten, true);
     const auto filter = daemon.director.drawVersion(kService, RouteId("r"));
     cr_assert(filter && !filter->admits(kTarget) && !daemon.director.mayUseOther(kService, *filter));
-    const SplitReport report{rewritten, InstanceId("d2"), 1, 1s, SplitPhase::Trial, "", {}};
+    const SplitReport report{rewritten, {InstanceId("d2"), 1}, 1s, SplitPhase::Trial, "", {}, {}};
     cr_assert(daemon.director.takeReport(report)->phase == SplitPhase::RolledBack);
 }
--- a/src/peer/stage_codec.cc
+++ b/src/peer/stage_codec.cc
@@ -192,11 +192,13 @@
     out.setService(report.rollout.service.str());
     out.setTarget(report.rollout.target.str());
     out.setRecord(report.rollout.record.value());
-    out.setDaemon(report.daemon.str());
-    out.setIncarnation(report.incarnation);
+    out.setDaemon(report.run.daemon.str());
+    out.setIncarnation(report.run.incarnation);
     out.setElapsedUs(toMicroseconds(report.elapsed));
     out.setPhase(static_cast<std::uint8_t>(report.phase));
     out.setFault(report.fault);
+    out.setTargetSends(report.sends.target);
+    out.setOldSends(report.sends.old);
     auto routes = out.initRoutes(static_cast<unsigned>(report.counts.size()));
     unsigned at = 0;
     for (const auto &[key, outcomes] : report.counts) {
@@ -214,11 +216,11 @@
     report.rollout.service = readId<ServiceId>(in.getService());
     report.rollout.target = readId<VersionId>(in.getTarget());
     report.rollout.record = RolloutRecord(in.getRecord());
-    report.daemon = readId<InstanceId>(in.getDaemon());
-    report.incarnation = in.getIncarnation();
+    report.run = {readId<InstanceId>(in.getDaemon()), in.getIncarnation()};
     report.elapsed = std::max(Duration::zero(), fromMicroseconds(in.getElapsedUs()));
     report.phase = readPhase(in.getPhase());
     report.fault = std::string(in.getFault().cStr(), in.getFault().size());
+    report.sends = {in.getTargetSends(), in.getOldSends()};
     for (const auto route : in.getRoutes()) {
         const RouteKey key{std::string(route.getCaller().cStr(), route.getCaller().size()),
                            readId<ZoneId>(route.getZone())};
@@ -232,6 +234,12 @@
     out.setKnown(true);
     out.setPhase(static_cast<std::uint8_t>(decision.phase));
     out.setReason(decision.reason);
+    out.setTargetCap(decision.targetCap);
+    auto routes = out.initTriedRoutes(static_cast<unsigned>(decision.triedRoutes.size()));
+    unsigned at = 0;
+    for (const auto &route : decision.triedRoutes) {
+        routes.set(at++, route.str());
+    }
 }
 
 std::optional<SplitDecision> readDecision(wire::StageProtocol::ReportSplitResults::Reader in)
@@ -239,7 +247,12 @@
     if (!in.getKnown()) {
         return std::nullopt;
     }
-    return SplitDecision{readPhase(in.getPhase()), std::string(in.getReason().cStr(), in.getReason().size())};
+    SplitDecision decision{
+        readPhase(in.getPhase()), std::string(in.getReason().cStr(), in.getReason().size()), in.getTargetCap(), {}};
+    for (const auto route : in.getTriedRoutes()) {
+        decision.triedRoutes.push_back(readId<RouteId>(route));
+    }
+    return decision;
 }
 
 } // namespace mimosahub
--- a/src/peer/stage_service_test.cc
+++ b/src/peer/stage_service_test.cc
@@ -122,8 +122,9 @@
     std::optional<SplitDecision> takeSplitReport(const SplitReport &report) override
     {
         reports.push_back(report);
-        return reports.size() > 1 ? std::nullopt
-                                  : std::optional(SplitDecision{SplitPhase::RolledBack, "half of it failed"});
+        return reports.size() > 1
+            ? std::nullopt
+            : std::optional(SplitDecision{SplitPhase::RolledBack, "half of it failed", 56, {RouteId("chat")}});
     }
 
     QuarantineMessage takeQuarantines(const QuarantineMessage &message) override
@@ -263,8 +264,8 @@
     Node coordinator;
     SplitReport report;
     report.rollout = {ServiceId("s"), VersionId("v2"), RolloutRecord(9)};
-    report.daemon = InstanceId("d1");
-    report.incarnation = 7;
+    report.run = {InstanceId("d1"), 7};
+    report.sends = {12, 34};
     report.elapsed = 1500ms;
     report.phase = SplitPhase::LoadTest;
     report.fault = "slow";
@@ -282,10 +283,13 @@
     }
     cr_assert(answers[0].ok() && answers[0]->has_value());
     cr_assert(answers[0]->value().phase == SplitPhase::RolledBack && answers[0]->value().reason == "half of it failed");
+    cr_assert_eq(answers[0]->value().targetCap, 56U);
+    cr_assert(answers[0]->value().triedRoutes == std::vector{RouteId("chat")});
     cr_assert(answers[1].ok() && !answers[1]->has_value());
     coordinator.onThread([&] {
         const auto &seen = coordinator.reports.at(0);
-        cr_assert(seen.rollout == report.rollout && seen.daemon == report.daemon && seen.incarnation == 7);
+        cr_assert(seen.rollout == report.rollout && seen.run.daemon == report.run.daemon && seen.run.incarnation == 7);
+        cr_assert(seen.sends == report.sends);
         cr_assert(seen.elapsed == 1500ms && seen.phase == SplitPhase::LoadTest && seen.fault == "slow");
         cr_assert(seen.counts.at({"chat", ZoneId("any")}).to == (VersionOutcomes{10, 5, 4}));
         cr_assert(seen.counts.at({"chat", ZoneId("any")}).from == (VersionOutcomes{30, 2, 1}));
--- a/src/wire/stage.capnp.h
+++ b/src/wire/stage.capnp.h
@@ -173,7 +173,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bde789bdf74311bc, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bde789bdf74311bc, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -491,7 +491,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94e7442f8c8e6ad5, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(94e7442f8c8e6ad5, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1361,6 +1361,10 @@
   inline bool hasRoutes() const;
   inline  ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
 
+  inline  ::uint64_t getTargetSends() const;
+
+  inline  ::uint64_t getOldSends() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1436,6 +1440,12 @@
   inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::mimosahub::wire::RouteOutcomes,  ::capnp::Kind::STRUCT>> disownRoutes();
 
+  inline  ::uint64_t getTargetSends();
+  inline void setTargetSends( ::uint64_t value);
+
+  inline  ::uint64_t getOldSends();
+  inline void setOldSends( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3305,6 +3315,11 @@
   inline bool hasReason() const;
   inline  ::capnp::Text::Reader getReason() const;
 
+  inline  ::uint64_t getTargetCap() const;
+
+  inline bool hasTriedRoutes() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTriedRoutes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3346,6 +3361,17 @@
   inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownReason();
 
+  inline  ::uint64_t getTargetCap();
+  inline void setTargetCap( ::uint64_t value);
+
+  inline bool hasTriedRoutes();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTriedRoutes();
+  inline void setTriedRoutes( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setTriedRoutes(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTriedRoutes(unsigned int size);
+  inline void adoptTriedRoutes(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTriedRoutes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4825,6 +4851,34 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t SplitReport::Reader::getTargetSends() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SplitReport::Builder::getTargetSends() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SplitReport::Builder::setTargetSends( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SplitReport::Reader::getOldSends() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SplitReport::Builder::getOldSends() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SplitReport::Builder::setOldSends( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashReport::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6339,6 +6393,58 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StageProtocol::ReportSplitResults::Reader::getTargetCap() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageProtocol::ReportSplitResults::Builder::getTargetCap() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StageProtocol::ReportSplitResults::Builder::setTargetCap( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StageProtocol::ReportSplitResults::Reader::hasTriedRoutes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageProtocol::ReportSplitResults::Builder::hasTriedRoutes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StageProtocol::ReportSplitResults::Reader::getTriedRoutes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageProtocol::ReportSplitResults::Builder::getTriedRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StageProtocol::ReportSplitResults::Builder::setTriedRoutes( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StageProtocol::ReportSplitResults::Builder::setTriedRoutes(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageProtocol::ReportSplitResults::Builder::initTriedRoutes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StageProtocol::ReportSplitResults::Builder::adoptTriedRoutes(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StageProtocol::ReportSplitResults::Builder::disownTriedRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool StageProtocol::ExchangeQuarantinesParams::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
