Count a late answer as slow before it ends

A version whose answers are several times slower under load was judged in its load test by the answers that were fast: a slow one counted only when it had ended, which may be after the verdict. Callers of such a version would have met it after the old endpoints had stopped.

Sends that are under way are looked at before each report, and one that is late by now counts as slow, once; if it fails in the end it counts as failed too. The same holds for both versions.

The test failed before: no outcome of two late sends in the report.

--- a/src/gateway/counted_send.cc
+++ b/src/gateway/counted_send.cc
@@ -1,5 +1,6 @@
 // A send to the target counts against the exposure limit when it is made, one to an old
-// endpoint when it has reached it. The outcome counts when the send ends.
+// endpoint when it has reached it. The outcome counts once it is known: a late answer as soon
+// as it is late, so that slowness shows before the slow answers end.
 
 #include "gateway/counted_send.h"
 
@@ -23,6 +24,7 @@
       m_begin(director.m_clock.now())
 {
     if (auto *known = director.find(m_service)) {
+        director.m_sends.insert(this);
         m_rollout = known->rollout;
         m_toTarget = endpoint.version == m_rollout.target;
         if (m_toTarget) {
@@ -34,6 +36,7 @@
 
 CountedSend::~CountedSend()
 {
+    m_director.m_sends.erase(this);
     if (m_ended) {
         return;
     }
@@ -52,6 +55,13 @@
     return known != nullptr && known->rollout == m_rollout ? known : nullptr;
 }
 
+void CountedSend::countIfLate()
+{
+    if (!m_isCounted && !m_ended && isLate()) {
+        count(false, true);
+    }
+}
+
 void CountedSend::end(SendResult result, const std::optional<AnswerTimes> &times)
 {
     m_ended = true;
@@ -98,6 +108,7 @@
     return limit && !m_cold && m_director.m_clock.now() - m_begin > *limit;
 }
 
+// What was late before it ended is counted once, and as failed too if it failed in the end.
 void CountedSend::count(bool failed, bool slow)
 {
     auto *known = active();
@@ -106,9 +117,10 @@
     }
     auto &route = known->counts[RouteKey{m_route.str(), ZoneId(kAnyZone)}];
     auto &version = m_toTarget ? route.to : route.from;
-    ++version.finished;
+    version.finished += m_isCounted ? 0 : 1;
     version.failed += failed ? 1 : 0;
-    version.slow += slow ? 1 : 0;
+    version.slow += slow && !m_isCounted ? 1 : 0;
+    m_isCounted = true;
 }
 
 } // namespace mimosahub
--- a/src/gateway/counted_send.h
+++ b/src/gateway/counted_send.h
@@ -18,6 +18,8 @@
     CountedSend(const CountedSend &) = delete;
     CountedSend &operator=(const CountedSend &) = delete;
 
+    /// Counts the send as slow, if its answer is late by now, before it ends.
+    void countIfLate();
     /// Records how the send ended. \a times is absent if no event or whole answer came.
     void end(SendResult result, const std::optional<AnswerTimes> &times);
 
@@ -34,6 +36,7 @@
     bool m_toTarget = false;
     bool m_cold;
     bool m_ended = false;
+    bool m_isCounted = false;
     TimePoint m_begin;
 };
 
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -9,6 +9,7 @@
 #include "gateway/rollout_director.h"
 
 #include "base/log.h"
+#include "gateway/counted_send.h"
 
 #include <algorithm>
 #include <limits>
@@ -200,6 +201,9 @@
 
 void RolloutDirector::tick()
 {
+    for (auto *send : m_sends) {
+        send->countIfLate();
+    }
     for (const auto &[service, active] : m_active) {
         look(*active);
     }
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace mimosahub
 {
@@ -124,6 +125,7 @@
     std::optional<boost::asio::steady_timer> m_timer; ///< Absent once stopped.
     bool m_armed = false;
     std::map<ServiceId, std::unique_ptr<Active>> m_active;
+    std::set<CountedSend *> m_sends; ///< Under way, of services under a rollout.
     SlowLimits m_limits;
     int m_daemons = 1;
     Counter &m_targetSends;
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -1,4 +1,4 @@
-#include "gateway/rollout_director.h"
+#include "gateway/counted_send.h"
 
 #include <criterion/criterion.h>
 
@@ -25,8 +25,9 @@
     {
         return false;
     }
-    void report(const SplitReport & /*report*/, AnswerCallback onAnswer) override
+    void report(const SplitReport &report, AnswerCallback onAnswer) override
     {
+        reported = report;
         onAnswer(std::nullopt);
     }
     void show(const std::vector<VersionId> &versions, std::optional<RolloutStage> status,
@@ -44,6 +45,7 @@
         director.setView(view);
     }
 
+    SplitReport reported; ///< The newest one.
     boost::asio::io_context io;
     ManualClock clock;
     MetricRegistry metrics;
@@ -114,3 +116,31 @@
     const SplitReport report{rewritten, {InstanceId("d2"), 1}, 1s, SplitPhase::Trial, "", {}, {}};
     cr_assert(daemon.director.takeReport(report)->phase == SplitPhase::RolledBack);
 }
+
+// Slowness showed only when the slow answers ended: a version that answered its load test several times
+// slower was judged by the answers that were fast.
+Test(rollout_director, a_late_answer_counts_before_it_ends_and_once)
+{
+    Daemon daemon;
+    daemon.show({kOld, kTarget}, RolloutStage::Running);
+    EndpointInfo old;
+    old.service = kService;
+    old.version = kOld;
+    auto target = old;
+    target.version = kTarget;
+    const RouteId route("r");
+    for (int i = 0; i < 100; ++i) {
+        CountedSend(daemon.director, old, route, false).end(SendResult::Answered, AnswerTimes{20ms, {}});
+    }
+    CountedSend late(daemon.director, target, route, false);
+    CountedSend lateAndFailed(daemon.director, target, route, false);
+    daemon.clock.advance(5s);
+    daemon.io.run_for(500ms); // A report is due by then.
+    const RouteKey key{"r", ZoneId("any")};
+    cr_assert(daemon.reported.counts.at(key).to == (VersionOutcomes{2, 0, 2}));
+    late.end(SendResult::Answered, AnswerTimes{5s, {}});
+    lateAndFailed.end(SendResult::ServerError, std::nullopt);
+    daemon.io.restart();
+    daemon.io.run_for(500ms);
+    cr_assert(daemon.reported.counts.at(key).to == (VersionOutcomes{2, 1, 2}));
+}
