Count a send for a rollout when its answer begins

And a stream that had begun in time counted as slow if its caller left it later.

Now the first byte counts the send; failures and slow events count when they show. Tests: a_stream_counts_when_it_has_begun_in_time failed before.

--- a/src/gateway/counted_send.cc
+++ b/src/gateway/counted_send.cc
@@ -1,6 +1,7 @@
 // A send to the target counts against the exposure limit when it is made, one to an old
-// endpoint when it has reached it. The outcome counts once it is known: a late answer as soon
-// as it is late, so that slowness shows before the slow answers end.
+// endpoint when it has reached it. The outcome counts once it is known: when the answer begins,
+// or as soon as it is late. So the newest outcomes show slowness before the slow answers end,
+// and streams that began in time before they do.
 
 #include "gateway/counted_send.h"
 
@@ -44,7 +45,7 @@
     if (known != nullptr && !m_toTarget) {
         known->split.recordOldSend(m_route);
     }
-    if (isLate()) {
+    if (!m_isCounted && isLate()) {
         count(false, true);
     }
 }
@@ -62,6 +63,14 @@
     }
 }
 
+void CountedSend::begun(Duration first)
+{
+    const auto limit = m_director.m_limits.firstLimit(m_route);
+    if (limit && !m_cold && !m_isCounted) {
+        count(false, first > *limit);
+    }
+}
+
 void CountedSend::end(SendResult result, const std::optional<AnswerTimes> &times)
 {
     m_ended = true;
@@ -108,7 +117,7 @@
     return limit && !m_cold && m_director.m_clock.now() - m_begin > *limit;
 }
 
-// What was late before it ended is counted once, and as failed too if it failed in the end.
+// A send is counted once, and as failed or slow too if that shows later.
 void CountedSend::count(bool failed, bool slow)
 {
     auto *known = active();
@@ -119,8 +128,9 @@
     auto &version = m_toTarget ? route.to : route.from;
     version.finished += m_isCounted ? 0 : 1;
     version.failed += failed ? 1 : 0;
-    version.slow += slow && !m_isCounted ? 1 : 0;
+    version.slow += slow && !m_isSlow ? 1 : 0;
     m_isCounted = true;
+    m_isSlow = m_isSlow || slow;
 }
 
 } // namespace mimosahub
--- a/src/gateway/counted_send.h
+++ b/src/gateway/counted_send.h
@@ -18,8 +18,10 @@
     CountedSend(const CountedSend &) = delete;
     CountedSend &operator=(const CountedSend &) = delete;
 
-    /// Counts the send as slow, if its answer is late by now, before it ends.
+    /// Counts the send as slow, if its answer hasn't begun and is late by now.
     void countIfLate();
+    /// Records that the first byte of the answer has come, \a first after the send.
+    void begun(Duration first);
     /// Records how the send ended. \a times is absent if no event or whole answer came.
     void end(SendResult result, const std::optional<AnswerTimes> &times);
 
@@ -37,6 +39,7 @@
     bool m_cold;
     bool m_ended = false;
     bool m_isCounted = false;
+    bool m_isSlow = false; ///< Counted as slow.
     TimePoint m_begin;
 };
 
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -9,7 +9,6 @@
 #include "gateway/forwarded_request.h"
 
 #include "base/log.h"
-#include "gateway/counted_send.h"
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -359,13 +358,14 @@
         }
         auto send = std::move(std::get<std::unique_ptr<EndpointSend>>(choice));
         const auto &endpoint = send->endpoint().info;
-        CountedSend counted(m_context.rollouts, endpoint, m_route->id,
-                            m_context.selector.isCold(endpoint.id, m_context.clock.now()));
+        m_counted.emplace(m_context.rollouts, endpoint, m_route->id,
+                          m_context.selector.isCold(endpoint.id, m_context.clock.now()));
         m_firstByte.reset();
         auto report = co_await sendOnce(std::move(send));
         if (speaksOfVersion(report)) {
-            counted.end(report.result, answerTimes());
+            m_counted->end(report.result, answerTimes());
         }
+        m_counted.reset();
         if (report.result == SendResult::Answered && isSuccess(report.head.status)) {
             m_context.quarantine.recordAnswer(m_contents);
         }
@@ -679,6 +679,7 @@
     recordUsage();
     if (!m_firstByte) {
         m_firstByte = m_context.clock.now() - m_sentAt;
+        m_counted->begun(*m_firstByte);
     }
 }
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -7,6 +7,7 @@
 #include "forward/send_policy.h"
 #include "gateway/answer_memory.h"
 #include "gateway/call_protocol.h"
+#include "gateway/counted_send.h"
 #include "gateway/crash_detector.h"
 #include "gateway/duty_reporter.h"
 #include "gateway/endpoint_send.h"
@@ -16,7 +17,6 @@
 #include "gateway/quarantine_director.h"
 #include "gateway/request_sends.h"
 #include "gateway/request_stages.h"
-#include "gateway/rollout_director.h"
 #include "gateway/usual_times.h"
 #include "http/connection_pool.h"
 #include "http/server.h"
@@ -172,6 +172,7 @@
     bool m_streamBegun = false; ///< The caller has got the header of a stream.
     bool m_streamCut = false; ///< The stream ends before its end.
     SendLoss m_loss = SendLoss::None; ///< Of the last send.
+    std::optional<CountedSend> m_counted; ///< The send that is under way.
     std::optional<Duration> m_firstByte; ///< From the send to the answer or its first event.
     TimePoint m_sentAt;
     EndpointId m_endpoint; ///< Of the last send.
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -53,6 +53,41 @@
     RolloutDirector director{io, clock, InstanceId("d1"), 1, ExposureLimit{0.1, 50.0}, metrics, random};
 };
 
+/// Sends of a route whose usual time is known.
+class Sends
+{
+public:
+    Sends()
+    {
+        daemon.show({kOld, kTarget}, RolloutStage::Running);
+        m_old.service = kService;
+        m_old.version = kOld;
+        m_target = m_old;
+        m_target.version = kTarget;
+        for (int i = 0; i < 100; ++i) {
+            CountedSend(daemon.director, m_old, kRoute, false).end(SendResult::Answered, AnswerTimes{20ms, {}});
+        }
+    }
+    std::unique_ptr<CountedSend> toTarget()
+    {
+        return std::make_unique<CountedSend>(daemon.director, m_target, kRoute, false);
+    }
+    /// Outcomes of the target in the next report.
+    VersionOutcomes reported()
+    {
+        daemon.io.restart();
+        daemon.io.run_for(500ms); // A report is due by then.
+        return daemon.reported.counts.at({kRoute.str(), ZoneId("any")}).to;
+    }
+
+    Daemon daemon;
+
+private:
+    const RouteId kRoute{"r"};
+    EndpointInfo m_old;
+    EndpointInfo m_target;
+};
+
 } // namespace
 
 Test(rollout_director, without_a_decision_the_target_gets_nothing)
@@ -121,26 +156,30 @@
 // slower was judged by the answers that were fast.
 Test(rollout_director, a_late_answer_counts_before_it_ends_and_once)
 {
-    Daemon daemon;
-    daemon.show({kOld, kTarget}, RolloutStage::Running);
-    EndpointInfo old;
-    old.service = kService;
-    old.version = kOld;
-    auto target = old;
-    target.version = kTarget;
-    const RouteId route("r");
-    for (int i = 0; i < 100; ++i) {
-        CountedSend(daemon.director, old, route, false).end(SendResult::Answered, AnswerTimes{20ms, {}});
-    }
-    CountedSend late(daemon.director, target, route, false);
-    CountedSend lateAndFailed(daemon.director, target, route, false);
-    daemon.clock.advance(5s);
-    daemon.io.run_for(500ms); // A report is due by then.
-    const RouteKey key{"r", ZoneId("any")};
-    cr_assert(daemon.reported.counts.at(key).to == (VersionOutcomes{2, 0, 2}));
-    late.end(SendResult::Answered, AnswerTimes{5s, {}});
-    lateAndFailed.end(SendResult::ServerError, std::nullopt);
-    daemon.io.restart();
-    daemon.io.run_for(500ms);
-    cr_assert(daemon.reported.counts.at(key).to == (VersionOutcomes{2, 1, 2}));
+    Sends sends;
+    const auto late = sends.toTarget();
+    const auto lateAndFailed = sends.toTarget();
+    sends.daemon.clock.advance(5s);
+    cr_assert(sends.reported() == (VersionOutcomes{2, 0, 2}));
+    late->begun(5s);
+    late->end(SendResult::Answered, AnswerTimes{5s, {}});
+    lateAndFailed->end(SendResult::ServerError, std::nullopt);
+    cr_assert(sends.reported() == (VersionOutcomes{2, 1, 2}));
+}
+
+// If late answers counted at once and those in time only at their end, a version of long streams looked slow.
+Test(rollout_director, a_stream_counts_when_it_has_begun_in_time)
+{
+    Sends sends;
+    const auto stream = sends.toTarget();
+    stream->begun(20ms);
+    sends.daemon.clock.advance(5s);
+    cr_assert(sends.reported() == (VersionOutcomes{1, 0, 0}));
+    stream->end(SendResult::Answered, AnswerTimes{20ms, 10ms});
+    cr_assert(sends.reported() == (VersionOutcomes{1, 0, 0}));
+    auto givenUp = sends.toTarget();
+    givenUp->begun(20ms);
+    sends.daemon.clock.advance(5s);
+    givenUp.reset();
+    cr_assert(sends.reported() == (VersionOutcomes{2, 0, 0}));
 }
