Read the statuses again when a write of one meets another record

It lacked the status of one rollout, took no part in it, and tried to write "running" 70 times, each a conflict.

A conflict says that the table doesn't end where this daemon has read it to, so that its long read is begun anew. Why the read brought nothing isn't known: the store's side of it can't be seen from here.

The test failed before: the status wasn't read.

--- a/src/gateway/rollout_status_loop.cc
+++ b/src/gateway/rollout_status_loop.cc
@@ -121,6 +121,9 @@
         .with("status", m_documents.statusDocument(report))
         .with("at", end.value())
         .with("result", appendResultName(result));
+    if (result == AppendResult::Conflict) {
+        m_follower.restartRead(); // The read in flight would have brought the record that is there already.
+    }
     const auto until = m_clock.now() + kWritePause;
     while (!m_stopped && m_clock.now() < until) { // A wish may wake the timer early.
         m_timer.expires_after(until - m_clock.now());
