Let a rollout's verdict fall earlier before a slow store

Without a slow store nothing changes, but for one more call to the store a rollout.

Tests: split_judge/the_verdict_leaves_a_slow_store_its_time plays a write that meets another record.

--- a/src/forward/rollout_replay_test.cc
+++ b/src/forward/rollout_replay_test.cc
@@ -36,6 +36,7 @@
     Replay(const Scenario &scenario, std::uint64_t seed)
         : m_scenario(scenario), m_random(seed), m_judge(std::make_unique<SplitJudge>(scenario.duration, kLimit))
     {
+        m_judge->setStoreTime(scenario.storeAnswer);
         for (int i = 0; i < scenario.daemons; ++i) {
             m_daemons.emplace_back(m_random.uniform());
             m_daemons.back().split.setDaemons(scenario.daemons);
--- a/src/forward/rollout_replay_test.h
+++ b/src/forward/rollout_replay_test.h
@@ -42,6 +42,7 @@
     /// The daemon is not running; what it counted is lost.
     std::function<bool(int daemon, Duration elapsed)> isDown = [](int, Duration) { return false; };
     std::optional<Duration> coordinatorDies; ///< Another one has taken over 700 ms later.
+    Duration storeAnswer{}; ///< As it was measured before.
     Duration storeTime = std::chrono::milliseconds(20); ///< From the verdict until the store holds it.
 };
 
--- a/src/forward/split_judge.cc
+++ b/src/forward/split_judge.cc
@@ -48,6 +48,8 @@
 constexpr double kLateExcess = 0.2;
 constexpr std::int64_t kTrialOutcomes = 8; ///< Of the target, from which a route is tried.
 constexpr std::size_t kMostTriedRoutes = 32; ///< That a decision lists.
+constexpr int kStoreAnswers = 3; ///< For a write, or one that meets another record, a read and the write again.
+constexpr Duration kLongestWrite = 1s;
 constexpr Duration kLongestLoadTest = 10s;
 constexpr Duration kReportInterval = 300ms;
 constexpr Duration kLateReportInterval = 100ms; ///< In a load test, and shortly before one.
@@ -128,6 +130,11 @@
     return schedule;
 }
 
+Duration SplitJudge::writeTime() const
+{
+    return std::min(kStoreAnswers * m_storeTime, part(m_duration, 0.08, kLongestWrite));
+}
+
 SplitJudge::SplitJudge(Duration duration, const ExposureLimit &limit)
     : m_schedule(scheduleOf(duration)), m_duration(duration), m_budget(limit), m_evidence(policy(), evidenceOptions())
 {
@@ -313,10 +320,10 @@
 void SplitJudge::followTrial(TimePoint now)
 {
     const auto elapsed = this->elapsed(now);
-    if (elapsed >= m_schedule.lastCall) {
+    if (elapsed >= m_schedule.lastCall - writeTime()) {
         settle(SplitPhase::RolledBack, absl::StrCat("too little is known by the deadline: ", describeOutcomes()));
     } else if (elapsed >= m_schedule.loadTest && !hasEvidenceAgainst()
-               && m_budget.mayStart(m_duration - elapsed, m_duration - m_schedule.verdict, now)) {
+               && m_budget.mayStart(m_duration - elapsed, m_duration - m_schedule.verdict + writeTime(), now)) {
         enter(SplitPhase::LoadTest, now, describeBudget(now));
     } else {
         enter(SplitPhase::Trial, now);
@@ -328,9 +335,9 @@
     const auto elapsed = this->elapsed(now);
     if (m_evidence.hasUnconfirmedAlarm()) {
         takeAlarm(now);
-    } else if (elapsed >= m_schedule.verdict && mayComplete(daemons, now)) {
+    } else if (elapsed >= m_schedule.verdict - writeTime() && mayComplete(daemons, now)) {
         enter(SplitPhase::Completing, now, absl::StrCat("no fault in ", describeOutcomes()));
-    } else if (elapsed >= m_schedule.lastCall) {
+    } else if (elapsed >= m_schedule.lastCall - writeTime()) {
         settle(SplitPhase::RolledBack,
                absl::StrCat("not shown sound by the deadline: ", describeOutcomes(), "; ", describeBudget(now)));
     } else if (m_budget.isOverdrawn(m_duration - elapsed, now)) {
--- a/src/forward/split_judge.h
+++ b/src/forward/split_judge.h
@@ -44,6 +44,11 @@
     /// \a duration: from the order to the time by which it must be settled.
     SplitJudge(Duration duration, const ExposureLimit &limit);
 
+    /// How long the store takes to answer; the verdict falls the earlier, so that it is written by the deadline.
+    void setStoreTime(Duration time)
+    {
+        m_storeTime = time;
+    }
     /// Replaces what the daemon has reported before.
     void take(const SplitReport &report, TimePoint now);
     /// The decision on the reports so far, for all daemons. \a daemons is the number of
@@ -76,6 +81,8 @@
     };
 
     [[nodiscard]] static Schedule scheduleOf(Duration duration);
+    /// Time by which the verdict falls earlier for a slow store.
+    [[nodiscard]] Duration writeTime() const;
     [[nodiscard]] RolloutCounts total() const;
     [[nodiscard]] RouteOutcomes sum() const;
     [[nodiscard]] Duration elapsed(TimePoint now) const;
@@ -100,6 +107,7 @@
 
     Schedule m_schedule;
     Duration m_duration;
+    Duration m_storeTime{};
     std::map<DaemonRun, Source> m_sources;
     RolloutCounts m_total; ///< Of all reports, at the last decision.
     ExposureBudget m_budget;
--- a/src/forward/split_judge_test.cc
+++ b/src/forward/split_judge_test.cc
@@ -184,3 +184,19 @@
     now += 2100ms;
     cr_assert(judge.decide(2, now).phase == SplitPhase::Trial);
 }
+
+// A store that answers in 200 ms: the status was written after the deadline.
+Test(split_judge, the_verdict_leaves_a_slow_store_its_time)
+{
+    Scenario scenario;
+    scenario.duration = 15s;
+    scenario.perSecond = 50.0;
+    scenario.storeAnswer = 200ms;
+    scenario.storeTime = 620ms; // A write, a read after a conflict, and a write again.
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        const auto ending = play(scenario, seed);
+        cr_assert(ending.phase == SplitPhase::Completed && ending.at < scenario.duration, "%s",
+                  ending.describe().c_str());
+        cr_assert(ending.withinExposure(), "%s", ending.describe().c_str());
+    }
+}
--- a/src/gateway/gateway_view.h
+++ b/src/gateway/gateway_view.h
@@ -20,6 +20,7 @@
         std::optional<RolloutStage> status; ///< Of this order, as the store holds it.
         /// An order known by an earlier record, written again after the store came back from a copy.
         bool rewritten = false;
+        Duration storeTime{}; ///< Of the store's answer to the newest read that was measured.
     };
 
     std::shared_ptr<const GatewayConfiguration> configuration; ///< Null until one was read.
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -26,6 +26,7 @@
 constexpr double kIntervalSpread = 0.2;
 constexpr int kAllDaemons = std::numeric_limits<int>::max(); ///< More than ever report to a judge of own counts.
 constexpr int kDecisionsPerInterval = 2; ///< Sums over all daemons are not made for each report.
+constexpr Duration kMeasureBefore = 4s; ///< The deadline: time for a slow store to answer before the load test.
 constexpr Duration kNewsAge = 2s; ///< Without a decision for so long, a daemon pauses.
 
 SplitPhase phaseOf(RolloutStage stage)
@@ -116,6 +117,7 @@
             .with("duration", order.duration);
     }
     active->status = order.status;
+    active->judge.setStoreTime(order.storeTime);
     if (order.status && *order.status != RolloutStage::Running) {
         enter(*active, phaseOf(*order.status), "the status in the store");
     }
@@ -227,6 +229,7 @@
         enter(active, SplitPhase::Paused, "no news from the coordinator");
     }
     requestStatus(active);
+    measureStore(active);
 }
 
 // A daemon that has found a fault goes on reporting until the status shows it.
@@ -334,6 +337,17 @@
         .with("old_slow", sum.from.slow);
 }
 
+void RolloutDirector::measureStore(Active &active)
+{
+    const Duration remaining = active.duration - Duration(m_clock.now() - active.begin);
+    if (active.hasMeasuredStore || remaining > kMeasureBefore || isSettled(active.split.phase()) || !active.status
+        || !m_peers->coordinates(active.rollout.service)) {
+        return;
+    }
+    active.hasMeasuredStore = true;
+    m_callbacks.wantStatus({active.rollout, RolloutStage::Running, true, true});
+}
+
 void RolloutDirector::requestStatus(const Active &active)
 {
     const auto phase = active.split.phase();
@@ -342,11 +356,11 @@
         return;
     }
     if (phase == SplitPhase::Completing || phase == SplitPhase::Completed) {
-        m_callbacks.wantStatus({active.rollout, RolloutStage::Completed, coordinates});
+        m_callbacks.wantStatus({active.rollout, RolloutStage::Completed, coordinates, false});
     } else if (phase == SplitPhase::RolledBack) {
-        m_callbacks.wantStatus({active.rollout, RolloutStage::RolledBack, coordinates});
+        m_callbacks.wantStatus({active.rollout, RolloutStage::RolledBack, coordinates, false});
     } else if (!active.status) {
-        m_callbacks.wantStatus({active.rollout, RolloutStage::Running, coordinates});
+        m_callbacks.wantStatus({active.rollout, RolloutStage::Running, coordinates, false});
     }
 }
 
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -94,6 +94,7 @@
         TimePoint newsAt; ///< Of the last decision by the coordinator.
         std::optional<RolloutStage> status; ///< As the store holds it.
         TimePoint decidedAt; ///< When the judge of all reports decided last.
+        bool hasMeasuredStore = false;
         bool sharesTraffic = false; ///< Endpoints both of the target and of other versions are listed.
         bool hasShared = false; ///< That was so at some time since the order.
     };
@@ -112,6 +113,7 @@
     void enter(Active &active, SplitPhase phase, const std::string &reason);
     void logPhase(const Active &active, SplitPhase before) const;
     void requestStatus(const Active &active);
+    void measureStore(Active &active);
     [[nodiscard]] SplitReport reportOf(const Active &active) const;
 
     const Clock &m_clock;
--- a/src/gateway/rollout_status_loop.h
+++ b/src/gateway/rollout_status_loop.h
@@ -44,11 +44,13 @@
     void forgetStatus(const std::string &key);
     http::Awaitable<void> loop();
     http::Awaitable<void> write(RolloutReport report);
+    http::Awaitable<void> measureStore();
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
     KeyedStore &m_store;
     const DocumentReader &m_documents;
+    KeyedFollower::Listener &m_listener;
     KeyedFollower m_follower;
     RolloutStatuses m_statuses;
     boost::asio::steady_timer m_timer;
--- a/src/gateway/rollout_status_loop_test.cc
+++ b/src/gateway/rollout_status_loop_test.cc
@@ -107,9 +107,9 @@
     void storeFailed(StoreTable /*table*/, const absl::Status & /*status*/) override
     {
     }
-    void want()
+    void want(bool measureStore)
     {
-        loop.want({{kOrder.service, kOrder.target, kRecord}, RolloutStage::Running, true});
+        loop.want({{kOrder.service, kOrder.target, kRecord}, RolloutStage::Running, true, measureStore});
         io.restart();
         io.run_for(500ms);
     }
@@ -131,7 +131,18 @@
 {
     Fixture it;
     it.store.records.push_back({"s", "running", StoreOffset(0)}); // The read in flight doesn't bring it.
-    it.want();
+    it.want(false);
     cr_assert_eq(it.store.appends, 1);
     cr_assert(it.loop.list().at(0).status == RolloutStage::Running);
 }
+
+Test(rollout_status_loop, the_time_of_the_store_is_measured_when_it_is_asked_for)
+{
+    Fixture it;
+    it.want(false);
+    cr_assert_eq(it.store.pages, 1);
+    const int changed = it.changed;
+    it.want(true);
+    cr_assert_eq(it.store.pages, 2);
+    cr_assert_gt(it.changed, changed);
+}
