--- a/src/gateway/rollout_status_loop.cc
+++ b/src/gateway/rollout_status_loop.cc
@@ -66,6 +66,7 @@
     if (complete) {
         m_statuses.setComplete();
     }
+    m_timer.cancel(); // A write that met another record may be made again.
 }
 
 void RolloutStatusLoop::forgetStatus(const std::string &key)
@@ -129,7 +130,8 @@
         m_follower.restartRead(); // The read in flight would have brought the record that is there already.
     }
     const auto until = m_clock.now() + kWritePause;
-    while (!m_stopped && m_clock.now() < until) { // A wish may wake the timer early.
+    const auto isRead = [&] { return result == AppendResult::Conflict && m_follower.next() > end; };
+    while (!m_stopped && m_clock.now() < until && !isRead()) { // A wish may wake the timer early.
         m_timer.expires_after(until - m_clock.now());
         co_await m_timer.async_wait(http::kTuple);
     }
--- a/src/gateway/rollout_status_loop_test.cc
+++ b/src/gateway/rollout_status_loop_test.cc
@@ -136,6 +136,15 @@
     cr_assert(it.loop.list().at(0).status == RolloutStage::Running);
 }
 
+// Two coordinators write at the same time: before a deadline the second one can't wait for long.
+Test(rollout_status_loop, a_write_that_met_another_record_is_made_again_at_once)
+{
+    Fixture it;
+    it.store.records.push_back({"other", "running", StoreOffset(0)});
+    it.want(false);
+    cr_assert_eq(it.store.appends, 2);
+}
+
 Test(rollout_status_loop, the_time_of_the_store_is_measured_when_it_is_asked_for)
 {
     Fixture it;
