--- a/src/forward/split_judge.cc
+++ b/src/forward/split_judge.cc
@@ -23,6 +23,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace mimosahub
 {
@@ -180,9 +181,8 @@
     std::sort(tried.rbegin(), tried.rend());
     tried.resize(std::min(tried.size(), kMostTriedRoutes));
     std::vector<RouteId> routes;
-    for (const auto &[finished, route] : tried) {
-        routes.push_back(route);
-    }
+    std::transform(tried.begin(), tried.end(), std::back_inserter(routes),
+                   [](const auto &item) { return item.second; });
     return routes;
 }
 
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -53,6 +53,8 @@
     RolloutDirector director{io, clock, InstanceId("d1"), 1, ExposureLimit{0.1, 50.0}, metrics, random};
 };
 
+const RouteId kRoute("r");
+
 /// Sends of a route whose usual time is known.
 class Sends
 {
@@ -83,7 +85,6 @@
     Daemon daemon;
 
 private:
-    const RouteId kRoute{"r"};
     EndpointInfo m_old;
     EndpointInfo m_target;
 };
