--- a/src/forward/split_judge.cc
+++ b/src/forward/split_judge.cc
@@ -247,7 +247,7 @@
     return sum.to.finished >= kLeastOutcomes && !isNear(sum, kExcess);
 }
 
-bool SplitJudge::isKnownWell() const
+bool SplitJudge::hasEnoughOutcomes() const
 {
     RouteOutcomes sum;
     for (const auto &[route, outcomes] : m_total) {
@@ -364,8 +364,8 @@
 // requests until the deadline.
 bool SplitJudge::mayComplete(int daemons, TimePoint now) const
 {
-    return now - m_phaseBegan >= m_schedule.leastLoadTest && heardMost(daemons, m_phaseBegan) && isKnownWell()
-        && !hasEvidenceAgainst() && !isWorseOfLate() && m_budget.mayFinish(m_duration - elapsed(now), now);
+    return now - m_phaseBegan >= m_schedule.leastLoadTest && heardMost(daemons, m_phaseBegan) && hasEnoughOutcomes()
+        && !hasEvidenceAgainst() && !isWorseLately() && m_budget.mayFinish(m_duration - elapsed(now), now);
 }
 
 void SplitJudge::recordSample(TimePoint now)
@@ -377,7 +377,7 @@
 }
 
 // What turns bad at the end of the load test is a small part of all outcomes.
-bool SplitJudge::isWorseOfLate() const
+bool SplitJudge::isWorseLately() const
 {
     const auto sum = this->sum();
     for (const auto window : kLateWindows) {
--- a/src/forward/split_judge.h
+++ b/src/forward/split_judge.h
@@ -68,6 +68,7 @@
         SplitReport report;
         TimePoint receivedAt;
     };
+    /// Outcomes of the target at one time of the load test.
     struct Sample {
         TimePoint at;
         VersionOutcomes target; ///< Cumulative.
@@ -90,9 +91,10 @@
     [[nodiscard]] bool heardMost(int daemons, TimePoint since) const;
     [[nodiscard]] std::vector<RouteId> triedRoutes() const;
     [[nodiscard]] bool hasEvidenceAgainst() const;
-    [[nodiscard]] bool isKnownWell() const;
+    /// Whether the target has given enough outcomes to judge by, also on each route that the old version knows.
+    [[nodiscard]] bool hasEnoughOutcomes() const;
     /// Whether the target's newest outcomes are far worse than the old version's.
-    [[nodiscard]] bool isWorseOfLate() const;
+    [[nodiscard]] bool isWorseLately() const;
     void recordSample(TimePoint now);
     [[nodiscard]] bool mayComplete(int daemons, TimePoint now) const;
     void findFault(TimePoint now);
--- a/src/forward/version_split.cc
+++ b/src/forward/version_split.cc
@@ -16,7 +16,7 @@
 
 constexpr double kTrialPart = 0.1; ///< Of the limit's share, for routes that are tried already.
 constexpr std::uint64_t kMostTrialSends = 24; ///< Of one daemon, after which a route is tried in any case.
-constexpr std::uint64_t kOldSendsOfOne = 3; ///< On a route that is tried, for each send to the target.
+constexpr std::uint64_t kOldSendsPerTargetSend = 3; ///< On a route that is to be tried.
 constexpr double kTryingDaemons = 8.0; ///< Expected number, of all, that may send a request of such a route.
 constexpr double kLimitPart = 0.4; ///< Of the limit, before the load test.
 
@@ -65,7 +65,7 @@
     const auto it = m_routes.find(route);
     const auto sends = it == m_routes.end() ? SplitSends() : it->second;
     if (!isTried(route, sends)) {
-        return kOldSendsOfOne * sends.target <= sends.old && random.uniform() * m_daemons < kTryingDaemons;
+        return kOldSendsPerTargetSend * sends.target <= sends.old && random.uniform() * m_daemons < kTryingDaemons;
     }
     // What untried routes have had counts towards the trial's share.
     const double share = kTrialPart * m_limit.share;
