Measure a daemon's rate once a report, and name the age of a rollout's news once

ExposureBudget went through all samples of all daemons for each daemon's report, and copied each daemon's name twice: in a load test work of the coordinator that grows with the square of the daemons, ten times a second. The rates depend on a daemon's newest report only, so that they are measured when it comes, and the names are kept.

The two seconds after which news count no more stood in three places besides the test's; all must be the same, and are one constant now. The judge's times before a slow store have names. Behaviour is the same.

--- a/src/forward/exposure_budget.cc
+++ b/src/forward/exposure_budget.cc
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace mimosahub
 {
@@ -21,7 +20,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kNewsAge = 2s; ///< After which a daemon without a decision uses the target no more.
 constexpr Duration kRateWindow = 3s;
 constexpr Duration kBurstWindow = 1s; ///< A higher rate in so short a time counts if it can't be chance.
 constexpr Duration kLeastWindow = 500ms; ///< Over a shorter time no rate is measured.
@@ -53,6 +51,9 @@
     while (source.samples.size() > 1 && source.samples[1].at <= now - kRateWindow) {
         source.samples.pop_front();
     }
+    source.rate = rateOver(source, kRateWindow);
+    source.newestRate = rateOver(source, kBurstWindow);
+    m_known.insert(run.daemon);
 }
 
 void ExposureBudget::setDaemons(int daemons)
@@ -60,11 +61,8 @@
     m_daemons = std::max(1, daemons);
 }
 
-double ExposureBudget::rateOf(const Source &source, Duration window, TimePoint now)
+double ExposureBudget::rateOver(const Source &source, Duration window)
 {
-    if (now - source.receivedAt > kNewsAge) {
-        return 0.0;
-    }
     const auto &newest = source.samples.back();
     const Sample *first = &source.samples.front();
     for (const auto &sample : source.samples) {
@@ -79,19 +77,24 @@
     return static_cast<double>(newest.all) / seconds(std::max(source.elapsed, kLeastWindow));
 }
 
-double ExposureBudget::sumOfRates(Duration window, TimePoint now) const
+double ExposureBudget::rateOf(const Source &source, SourceRate rate, TimePoint now)
+{
+    return now - source.receivedAt > kRolloutNewsAge ? 0.0 : source.*rate;
+}
+
+double ExposureBudget::sumOfRates(SourceRate rate, TimePoint now) const
 {
     double sum = 0.0;
     for (const auto &[run, source] : m_sources) {
-        sum += rateOf(source, window, now);
+        sum += rateOf(source, rate, now);
     }
     return sum * completeness();
 }
 
 double ExposureBudget::rate(TimePoint now) const
 {
-    const double newest = sumOfRates(kBurstWindow, now);
-    return std::max(sumOfRates(kRateWindow, now), newest - std::sqrt(newest));
+    const double newest = sumOfRates(&Source::newestRate, now);
+    return std::max(sumOfRates(&Source::rate, now), newest - std::sqrt(newest));
 }
 
 double ExposureBudget::meanRate() const
@@ -105,11 +108,7 @@
 
 double ExposureBudget::completeness() const
 {
-    std::set<InstanceId> known;
-    for (const auto &[run, source] : m_sources) {
-        known.insert(run.daemon);
-    }
-    return known.empty() ? 1.0 : std::max(1.0, static_cast<double>(m_daemons) / static_cast<double>(known.size()));
+    return m_known.empty() ? 1.0 : std::max(1.0, static_cast<double>(m_daemons) / static_cast<double>(m_known.size()));
 }
 
 double ExposureBudget::allSends() const
@@ -126,8 +125,7 @@
     double sum = 0.0;
     for (const auto &[run, source] : m_sources) {
         const auto left = static_cast<double>(source.cap - std::min(source.cap, source.sends.target));
-        const double sent = rateOf(source, kBurstWindow, source.receivedAt)
-            * seconds(std::min(kNewsAge, Duration(now - source.receivedAt)));
+        const double sent = source.newestRate * seconds(std::min(kRolloutNewsAge, Duration(now - source.receivedAt)));
         sum += static_cast<double>(source.sends.target) + std::min(left, sent);
     }
     return sum * completeness();
@@ -173,9 +171,9 @@
         return 0;
     }
     auto &source = it->second;
-    const double total = sumOfRates(kRateWindow, now);
+    const double total = sumOfRates(&Source::rate, now);
     const double spare = m_limit.allowed(allSends()) - targetSends(now) - total * seconds(kReportLag);
-    const double part = total > 0.0 ? rateOf(source, kRateWindow, now) / total : 1.0 / m_daemons;
+    const double part = total > 0.0 ? rateOf(source, &Source::rate, now) / total : 1.0 / m_daemons;
     const auto more = spare < 1.0 ? std::uint64_t{0} : static_cast<std::uint64_t>(std::max(1.0, spare * part));
     source.cap = source.sends.target + more;
     return source.cap;
--- a/src/forward/exposure_budget.h
+++ b/src/forward/exposure_budget.h
@@ -6,12 +6,17 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <tuple>
 
 /// How many requests the target of a rollout may still get, over all daemons.
 namespace mimosahub
 {
 
+/// Age from which news of a rollout count no more: a daemon without a decision for so long uses the target no
+/// more, and a report that is older shows nothing about the present.
+constexpr Duration kRolloutNewsAge = std::chrono::seconds(2);
+
 /// Limit on the requests that a version gets from the order of its rollout to the deadline, over all daemons.
 struct ExposureLimit {
     double share = 0.1; ///< Of the service's requests.
@@ -90,12 +95,16 @@
         Duration elapsed{};
         TimePoint receivedAt;
         std::deque<Sample> samples; ///< The newest last.
+        double rate = 0.0; ///< Requests per second, at the newest report.
+        double newestRate = 0.0; ///< The same, over a shorter time.
         std::uint64_t cap = 0; ///< As granted since.
     };
+    using SourceRate = double Source::*;
 
     /// Requests of a source per second, over its samples not older than \a window.
-    [[nodiscard]] static double rateOf(const Source &source, Duration window, TimePoint now);
-    [[nodiscard]] double sumOfRates(Duration window, TimePoint now) const;
+    [[nodiscard]] static double rateOver(const Source &source, Duration window);
+    [[nodiscard]] static double rateOf(const Source &source, SourceRate rate, TimePoint now);
+    [[nodiscard]] double sumOfRates(SourceRate rate, TimePoint now) const;
     /// Requests of the service per second since the order.
     [[nodiscard]] double meanRate() const;
     [[nodiscard]] double expected(Duration remaining, TimePoint now) const;
@@ -107,6 +116,7 @@
     ExposureLimit m_limit;
     int m_daemons = 1;
     std::map<DaemonRun, Source> m_sources;
+    std::set<InstanceId> m_known; ///< Daemons that have reported.
 };
 
 } // namespace mimosahub
--- a/src/forward/rollout_replay_test.cc
+++ b/src/forward/rollout_replay_test.cc
@@ -26,7 +26,6 @@
 constexpr Duration kRollbackTime = 5s;
 constexpr Duration kAfterDeadline = 7s; ///< Played after the deadline.
 constexpr Duration kTakeover = 700ms; ///< Until a coordinator's successor is asked.
-constexpr Duration kNewsAge = 2s; ///< Without a decision for so long, a daemon pauses.
 constexpr Duration kShareTime = 500ms;
 
 /// One rollout while it is played.
@@ -182,7 +181,7 @@
             daemon.split.setTargetCap(decision.targetCap);
             daemon.split.setTriedRoutes(decision.triedRoutes);
             daemon.split.setPhase(decision.phase);
-        } else if (now() - daemon.newsAt > kNewsAge && !isSettled(daemon.split.phase())) {
+        } else if (now() - daemon.newsAt > kRolloutNewsAge && !isSettled(daemon.split.phase())) {
             daemon.split.setPhase(SplitPhase::Paused);
         }
     }
--- a/src/forward/split_judge.cc
+++ b/src/forward/split_judge.cc
@@ -33,7 +33,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kNewsAge = 2s; ///< An older report shows nothing about the present.
 constexpr std::int64_t kLeastOutcomes = 10; ///< Of the target, without which it isn't completed.
 constexpr double kExcess = 0.12; ///< Of a sound target's rates of bad answers over the old version's, at most.
 constexpr std::int64_t kLeastOfRoute = 8; ///< Outcomes of the target on a route that is looked at by itself.
@@ -137,6 +136,16 @@
     return std::min(kStoreAnswers * m_storeTime, part(m_duration, 0.08, kLongestWrite));
 }
 
+Duration SplitJudge::verdictAt() const
+{
+    return m_schedule.verdict - writeTime();
+}
+
+Duration SplitJudge::lastCallAt() const
+{
+    return m_schedule.lastCall - writeTime();
+}
+
 SplitJudge::SplitJudge(Duration duration, const ExposureLimit &limit)
     : m_schedule(scheduleOf(duration)), m_duration(duration), m_budget(limit), m_evidence(policy(), evidenceOptions())
 {
@@ -237,26 +246,17 @@
     if (m_evidence.hasUnconfirmedAlarm()) {
         return true;
     }
-    RouteOutcomes sum;
-    for (const auto &[route, outcomes] : m_total) {
-        sum += outcomes;
-        if (!looksSoundOnRoute(outcomes)) {
-            return true;
-        }
-    }
-    return sum.to.finished >= kLeastOutcomes && !isNear(sum, kExcess);
+    const bool soundOnRoutes =
+        std::all_of(m_total.begin(), m_total.end(), [](const auto &route) { return looksSoundOnRoute(route.second); });
+    const auto sum = this->sum();
+    return !soundOnRoutes || (sum.to.finished >= kLeastOutcomes && !isNear(sum, kExcess));
 }
 
 bool SplitJudge::hasEnoughOutcomes() const
 {
-    RouteOutcomes sum;
-    for (const auto &[route, outcomes] : m_total) {
-        sum += outcomes;
-        if (outcomes.to.finished < kLeastOfRareRoute && outcomes.from.finished >= kKnownRoute) {
-            return false;
-        }
-    }
-    return sum.to.finished >= kLeastOutcomes;
+    return sum().to.finished >= kLeastOutcomes && std::all_of(m_total.begin(), m_total.end(), [](const auto &route) {
+               return route.second.to.finished >= kLeastOfRareRoute || route.second.from.finished < kKnownRoute;
+           });
 }
 
 void SplitJudge::findFault(TimePoint now)
@@ -293,7 +293,7 @@
     if (isSettled(m_decision.phase)) {
         return m_decision;
     }
-    if (heardMost(daemons, now - kNewsAge)) {
+    if (heardMost(daemons, now - kRolloutNewsAge)) {
         follow(daemons, now);
     } else {
         enter(elapsed(now) < m_duration ? SplitPhase::Trial : SplitPhase::Paused, now);
@@ -322,12 +322,12 @@
 void SplitJudge::followTrial(TimePoint now)
 {
     const auto elapsed = this->elapsed(now);
-    if (elapsed >= m_schedule.lastCall - writeTime()) {
+    if (elapsed >= lastCallAt()) {
         const auto *reason = hasEvidenceAgainst() ? "there are doubts" : "too little is known";
         settle(SplitPhase::RolledBack,
                absl::StrCat(reason, " by the deadline: ", describeOutcomes(), "; ", describeBudget(now)));
     } else if (elapsed >= m_schedule.loadTest && !hasEvidenceAgainst()
-               && m_budget.mayStart(m_duration - elapsed, m_duration - m_schedule.verdict + writeTime(), now)) {
+               && m_budget.mayStart(m_duration - elapsed, m_duration - verdictAt(), now)) {
         enter(SplitPhase::LoadTest, now, describeBudget(now));
     } else {
         enter(SplitPhase::Trial, now);
@@ -339,9 +339,9 @@
     const auto elapsed = this->elapsed(now);
     if (m_evidence.hasUnconfirmedAlarm()) {
         takeAlarm(now);
-    } else if (elapsed >= m_schedule.verdict - writeTime() && mayComplete(daemons, now)) {
+    } else if (elapsed >= verdictAt() && mayComplete(daemons, now)) {
         enter(SplitPhase::Completing, now, absl::StrCat("no fault in ", describeOutcomes()));
-    } else if (elapsed >= m_schedule.lastCall - writeTime()) {
+    } else if (elapsed >= lastCallAt()) {
         settle(SplitPhase::RolledBack,
                absl::StrCat("not shown sound by the deadline: ", describeOutcomes(), "; ", describeBudget(now)));
     } else if (m_budget.isOverdrawn(m_duration - elapsed, now)) {
--- a/src/forward/split_judge.h
+++ b/src/forward/split_judge.h
@@ -84,6 +84,9 @@
     [[nodiscard]] static Schedule scheduleOf(Duration duration);
     /// Time by which the verdict falls earlier for a slow store.
     [[nodiscard]] Duration writeTime() const;
+    /// Times since the order, before the store that was measured.
+    [[nodiscard]] Duration verdictAt() const;
+    [[nodiscard]] Duration lastCallAt() const;
     [[nodiscard]] RolloutCounts total() const;
     [[nodiscard]] RouteOutcomes sum() const;
     [[nodiscard]] Duration elapsed(TimePoint now) const;
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -27,7 +27,6 @@
 constexpr int kAllDaemons = std::numeric_limits<int>::max(); ///< More than ever report to a judge of own counts.
 constexpr int kDecisionsPerInterval = 2; ///< Sums over all daemons are not made for each report.
 constexpr Duration kMeasureBefore = 4s; ///< The deadline: time for a slow store to answer before the load test.
-constexpr Duration kNewsAge = 2s; ///< Without a decision for so long, a daemon pauses.
 
 SplitPhase phaseOf(RolloutStage stage)
 {
@@ -109,7 +108,7 @@
     }
     if (!active || active->rollout != order.id) {
         active = std::make_unique<Active>(order, *m_limit, m_random.uniform(), now);
-        active->newsAt = now - kNewsAge;
+        active->newsAt = now - kRolloutNewsAge;
         logEvent(LogLevel::Info, "rollout-begun")
             .with("service", order.id.service)
             .with("target", order.id.target)
@@ -225,7 +224,7 @@
         }
     }
     exchange(active);
-    if (!isSettled(active.split.phase()) && now - active.newsAt > kNewsAge) {
+    if (!isSettled(active.split.phase()) && now - active.newsAt > kRolloutNewsAge) {
         enter(active, SplitPhase::Paused, "no news from the coordinator");
     }
     requestStatus(active);
