Give the measuring of the store a path of its own

It was a flag of a status that is to be written, with a status that nobody wanted, and was published through a change of the table without changes. A rollout's director now asks for it as such, GatewayControl publishes the view when it is done, and the time is one value of the view, not one of each rollout. What is measured, and when, stays.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -365,6 +365,19 @@
     boost::asio::post(m_io, [this, wanted] { m_rollouts.want(wanted); });
 }
 
+void GatewayControl::measureStore()
+{
+    http::spawn(m_io, measure());
+}
+
+http::Awaitable<void> GatewayControl::measure()
+{
+    co_await m_rollouts.measureStore();
+    if (!m_withdrawn) {
+        publish();
+    }
+}
+
 void GatewayControl::wantQuarantine(const Quarantine &quarantine, bool own)
 {
     boost::asio::post(m_io, [this, quarantine, own] { m_quarantines.want(quarantine, own); });
@@ -401,6 +414,7 @@
         view->daemons.push_back(entry);
     }
     view->rollouts = m_rollouts.list();
+    view->storeTime = m_rollouts.storeTime();
     if (m_duties) {
         m_duties->setView(*view);
     }
--- a/src/gateway/gateway_control.h
+++ b/src/gateway/gateway_control.h
@@ -53,6 +53,8 @@
     void stop();
     /// Has a rollout's status written. Any thread.
     void wantStatus(const WantedStatus &wanted);
+    /// Measures how long the store takes to answer, and shows it in the view. Any thread.
+    void measureStore();
     /// Has a quarantine written; see QuarantineStoreLoop::want(). Any thread.
     void wantQuarantine(const Quarantine &quarantine, bool own);
     /// Claims a trial; see QuarantineStoreLoop::claim(). \a onResult is called on the control
@@ -78,6 +80,7 @@
     void takeRollout(const KeyedChange &change);
     void takeEndpoint(const KeyedChange &change);
     void takeDaemon(const KeyedChange &change);
+    http::Awaitable<void> measure();
     http::Awaitable<void> announceLoop();
     http::Awaitable<void> withdraw();
     [[nodiscard]] std::vector<KeyedFollower *> followers();
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -209,7 +209,8 @@
         {[&] { (*traffic)->viewChanged(); },
          [&](std::vector<Quarantine> stored) { (*traffic)->takeStoredQuarantines(std::move(stored)); }},
         seed + 1);
-    (*traffic)->connectRollouts([&](const WantedStatus &wanted) { control.wantStatus(wanted); });
+    (*traffic)->connectRollouts(
+        {[&](const WantedStatus &wanted) { control.wantStatus(wanted); }, [&] { control.measureStore(); }});
     (*traffic)->connectQuarantine(
         {[&](const Quarantine &quarantine, bool own) { control.wantQuarantine(quarantine, own); },
          [&](const Quarantine &quarantine, std::function<void(bool)> onResult) {
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -329,10 +329,10 @@
     m_stages.setView(stages);
 }
 
-void GatewayTraffic::connectRollouts(std::function<void(const WantedStatus &)> wantStatus)
+void GatewayTraffic::connectRollouts(RolloutStore store)
 {
     m_router->setRollouts(m_rollouts);
-    m_rollouts.connect(*m_router, {std::move(wantStatus), [this] {
+    m_rollouts.connect(*m_router, {std::move(store.wantStatus), std::move(store.measure), [this] {
                                        setStages(noticedView());
                                        applyRests();
                                    }});
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -38,8 +38,13 @@
     void queryTable(StoreTable table, StoreOffset from, AnswerCallback onAnswer) override;
     /// The view has changed. Any thread.
     void viewChanged();
-    /// To be called before start(). \a wantStatus is called on the traffic thread.
-    void connectRollouts(std::function<void(const WantedStatus &)> wantStatus);
+    /// How rollouts reach the store. Called on the traffic thread.
+    struct RolloutStore {
+        std::function<void(const WantedStatus &)> wantStatus;
+        std::function<void()> measure;
+    };
+    /// To be called before start().
+    void connectRollouts(RolloutStore store);
     /// How quarantines reach the store. Called on the traffic thread.
     struct QuarantineStore {
         std::function<void(const Quarantine &quarantine, bool own)> want;
--- a/src/gateway/gateway_view.h
+++ b/src/gateway/gateway_view.h
@@ -20,7 +20,6 @@
         std::optional<RolloutStage> status; ///< Of this order, as the store holds it.
         /// An order known by an earlier record, written again after the store came back from a copy.
         bool rewritten = false;
-        Duration storeTime{}; ///< Of the store's answer to the newest read that was measured.
     };
 
     std::shared_ptr<const GatewayConfiguration> configuration; ///< Null until one was read.
@@ -28,6 +27,7 @@
     std::set<ZoneId> closedZones; ///< Operators have taken them out.
     std::vector<DaemonEntry> daemons; ///< By id; this one included.
     std::vector<Rollout> rollouts; ///< One for each service at most.
+    Duration storeTime{}; ///< Of the store's answer to the newest read that was measured.
 };
 
 using GatewayViews = Published<GatewayView>;
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -86,6 +86,7 @@
         active->sharesTraffic = target && old;
         active->hasShared = active->hasShared || active->sharesTraffic;
         active->split.setDaemons(m_daemons);
+        active->judge.setStoreTime(view.storeTime);
     }
     armTick();
 }
@@ -116,7 +117,6 @@
             .with("duration", order.duration);
     }
     active->status = order.status;
-    active->judge.setStoreTime(order.storeTime);
     if (order.status && *order.status != RolloutStage::Running) {
         enter(*active, phaseOf(*order.status), "the status in the store");
     }
@@ -344,7 +344,7 @@
         return;
     }
     active.hasMeasuredStore = true;
-    m_callbacks.wantStatus({active.rollout, RolloutStage::Running, true, true});
+    m_callbacks.measureStore();
 }
 
 void RolloutDirector::requestStatus(const Active &active)
@@ -355,11 +355,11 @@
         return;
     }
     if (phase == SplitPhase::Completing || phase == SplitPhase::Completed) {
-        m_callbacks.wantStatus({active.rollout, RolloutStage::Completed, coordinates, false});
+        m_callbacks.wantStatus({active.rollout, RolloutStage::Completed, coordinates});
     } else if (phase == SplitPhase::RolledBack) {
-        m_callbacks.wantStatus({active.rollout, RolloutStage::RolledBack, coordinates, false});
+        m_callbacks.wantStatus({active.rollout, RolloutStage::RolledBack, coordinates});
     } else if (!active.status) {
-        m_callbacks.wantStatus({active.rollout, RolloutStage::Running, coordinates, false});
+        m_callbacks.wantStatus({active.rollout, RolloutStage::Running, coordinates});
     }
 }
 
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -42,6 +42,7 @@
 public:
     struct Callbacks {
         std::function<void(const WantedStatus &)> wantStatus; ///< Called again and again until the view shows it.
+        std::function<void()> measureStore; ///< The view shows the result.
         std::function<void()> phaseChanged;
     };
 
--- a/src/gateway/rollout_director_test.cc
+++ b/src/gateway/rollout_director_test.cc
@@ -19,7 +19,7 @@
 public:
     Daemon()
     {
-        director.connect(*this, {[](const WantedStatus &) {}, [] {}});
+        director.connect(*this, {[](const WantedStatus &) {}, [] {}, [] {}});
     }
     bool coordinates(const ServiceId & /*service*/) const override
     {
--- a/src/gateway/rollout_status_loop.cc
+++ b/src/gateway/rollout_status_loop.cc
@@ -31,7 +31,6 @@
       m_clock(clock),
       m_store(store),
       m_documents(documents),
-      m_listener(listener),
       m_follower(io, store, listener, random, statusOptions()),
       m_timer(io)
 {
@@ -82,9 +81,6 @@
 void RolloutStatusLoop::want(const WantedStatus &wanted)
 {
     m_statuses.want(wanted, m_clock.now());
-    if (wanted.measureStore) {
-        http::spawn(m_io, measureStore());
-    }
     m_timer.cancel();
 }
 
@@ -137,18 +133,13 @@
     }
 }
 
-// A read of a few records takes as long as a write. A store that doesn't answer counts with its timeout.
+// A read of a few records takes as long as a write.
 http::Awaitable<void> RolloutStatusLoop::measureStore()
 {
     const auto begin = m_clock.now();
     const auto page = co_await m_store.newest(StoreTable::Status, "");
-    if (m_stopped) {
-        co_return;
-    }
-    const Duration time = m_clock.now() - begin;
-    logEvent(LogLevel::Info, "rollout-store-time").with("time", time).with("ok", page.ok());
-    m_statuses.takeStoreTime(time);
-    m_listener.tableChanged(StoreTable::Status, {}, false); // So that the view shows it.
+    m_storeTime = m_clock.now() - begin;
+    logEvent(LogLevel::Info, "rollout-store-time").with("time", m_storeTime).with("ok", page.ok());
 }
 
 } // namespace mimosahub
--- a/src/gateway/rollout_status_loop.h
+++ b/src/gateway/rollout_status_loop.h
@@ -24,6 +24,13 @@
     /// Takes changes of the table of statuses. \a complete: all of them were read.
     void takeChanges(const std::vector<KeyedChange> &changes, bool complete);
     void want(const WantedStatus &wanted);
+    /// Measures how long the store takes to answer; a store that doesn't counts with its timeout.
+    http::Awaitable<void> measureStore();
+    /// As measured last.
+    [[nodiscard]] Duration storeTime() const
+    {
+        return m_storeTime;
+    }
     void setRank(int rank)
     {
         m_statuses.setRank(rank);
@@ -44,16 +51,15 @@
     void forgetStatus(const std::string &key);
     http::Awaitable<void> loop();
     http::Awaitable<void> write(RolloutReport report);
-    http::Awaitable<void> measureStore();
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
     KeyedStore &m_store;
     const DocumentReader &m_documents;
-    KeyedFollower::Listener &m_listener;
     KeyedFollower m_follower;
     RolloutStatuses m_statuses;
     boost::asio::steady_timer m_timer;
+    Duration m_storeTime{};
     bool m_started = false;
     bool m_stopped = false;
 };
--- a/src/gateway/rollout_status_loop_test.cc
+++ b/src/gateway/rollout_status_loop_test.cc
@@ -2,6 +2,8 @@
 
 #include "gateway/rollout_status_loop.h"
 
+#include "http/spawn.h"
+
 #include <criterion/criterion.h>
 
 using namespace mimosahub;
@@ -54,6 +56,7 @@
     http::Awaitable<absl::StatusOr<KeyedPage>> newest(StoreTable /*table*/, std::string /*afterKey*/) override
     {
         ++pages;
+        onPage();
         co_return KeyedPage();
     }
     http::Awaitable<KeyedReadResult> read(StoreTable /*table*/, StoreOffset from, Duration /*wait*/) override
@@ -76,6 +79,7 @@
     }
 
     std::vector<KeyedRecord> records;
+    std::function<void()> onPage = [] {};
     int pages = 0;
     int appends = 0;
 };
@@ -107,9 +111,9 @@
     void storeFailed(StoreTable /*table*/, const absl::Status & /*status*/) override
     {
     }
-    void want(bool measureStore)
+    void want()
     {
-        loop.want({{kOrder.service, kOrder.target, kRecord}, RolloutStage::Running, true, measureStore});
+        loop.want({{kOrder.service, kOrder.target, kRecord}, RolloutStage::Running, true});
         io.restart();
         io.run_for(500ms);
     }
@@ -131,7 +135,7 @@
 {
     Fixture it;
     it.store.records.push_back({"s", "running", StoreOffset(0)}); // The read in flight doesn't bring it.
-    it.want(false);
+    it.want();
     cr_assert_eq(it.store.appends, 1);
     cr_assert(it.loop.list().at(0).status == RolloutStage::Running);
 }
@@ -141,17 +145,16 @@
 {
     Fixture it;
     it.store.records.push_back({"other", "running", StoreOffset(0)});
-    it.want(false);
+    it.want();
     cr_assert_eq(it.store.appends, 2);
 }
 
-Test(rollout_status_loop, the_time_of_the_store_is_measured_when_it_is_asked_for)
+Test(rollout_status_loop, the_time_of_the_store_is_measured)
 {
     Fixture it;
-    it.want(false);
-    cr_assert_eq(it.store.pages, 1);
-    const int changed = it.changed;
-    it.want(true);
+    http::spawn(it.io, it.loop.measureStore());
+    it.store.onPage = [&] { it.clock.advance(200ms); };
+    it.want();
     cr_assert_eq(it.store.pages, 2);
-    cr_assert_gt(it.changed, changed);
+    cr_assert(it.loop.storeTime() == Duration(200ms));
 }
--- a/src/gateway/rollout_statuses.cc
+++ b/src/gateway/rollout_statuses.cc
@@ -97,7 +97,7 @@
 {
     std::vector<GatewayView::Rollout> rollouts;
     for (const auto &[id, service] : m_services) {
-        rollouts.push_back({service.order, service.duration, statusOf(service.order), service.rewritten, m_storeTime});
+        rollouts.push_back({service.order, service.duration, statusOf(service.order), service.rewritten});
     }
     return rollouts;
 }
--- a/src/gateway/rollout_statuses.h
+++ b/src/gateway/rollout_statuses.h
@@ -47,12 +47,6 @@
     /// The status to write now, if the table of statuses still ends where it was read to.
     [[nodiscard]] std::optional<RolloutReport> nextWrite(TimePoint now) const;
 
-    /// The store took \a time to answer a read.
-    void takeStoreTime(Duration time)
-    {
-        m_storeTime = time;
-    }
-
     [[nodiscard]] std::vector<GatewayView::Rollout> list() const;
 
 private:
@@ -73,7 +67,6 @@
 
     std::map<ServiceId, Service> m_services;
     std::map<ServiceId, RolloutReport> m_reports;
-    Duration m_storeTime{};
     int m_rank = 0;
     bool m_complete = false;
 };
--- a/src/gateway/wanted_status.h
+++ b/src/gateway/wanted_status.h
@@ -10,7 +10,6 @@
     RolloutId rollout;
     RolloutStage stage = RolloutStage::Running;
     bool coordinator = false; ///< This daemon coordinates the rollout; the others write later.
-    bool measureStore = false; ///< The final status will follow soon: how long the store takes is to be measured.
 };
 
 } // namespace mimosahub
