Write a rollout's final status again soon if the store is silent

The verdict falls in the last half second before the deadline. A store that was silent for a moment then got the status again only after the call's timeout of 1.2 s, after the deadline.

A final status that gets no answer within 250 ms, and twice the store's time where it was measured, is written again; each silence doubles the wait. The write's condition is the table's end, so that only one of them is done.

The test failed before: one write in half a second.

--- a/src/gateway/rollout_status_loop.cc
+++ b/src/gateway/rollout_status_loop.cc
@@ -5,15 +5,22 @@
 #include "base/log.h"
 #include "http/spawn.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <algorithm>
+
 namespace mimosahub
 {
 
 namespace
 {
 
+using namespace boost::asio::experimental::awaitable_operators;
 using namespace std::chrono_literals;
 
 constexpr Duration kIdle = 1h; ///< Until a wish wakes the loop.
+constexpr Duration kPatience = 250ms; ///< Until a final status is written again; doubled by each silence.
+constexpr int kMostSilences = 3; ///< That double it.
 constexpr Duration kWritePause = 150ms; ///< After a write, until the follower has met it.
 
 KeyedFollowerOptions statusOptions()
@@ -111,11 +118,28 @@
     }
 }
 
+// A final status is due at a deadline. A write that gets no answer soon is made again: the table's end is its
+// condition, so that only one of them is done.
+http::Awaitable<std::optional<AppendResult>> RolloutStatusLoop::append(const RolloutReport &report, StoreOffset end)
+{
+    const auto key = m_documents.statusKey(report.service);
+    const auto document = m_documents.statusDocument(report);
+    if (report.stage == RolloutStage::Running) {
+        co_return co_await m_store.append(StoreTable::Status, key, document, end);
+    }
+    boost::asio::steady_timer patience(m_io, kPatience * (1 << m_silences) + 2 * m_storeTime);
+    const auto ended =
+        co_await (m_store.append(StoreTable::Status, key, document, end) || patience.async_wait(http::kTuple));
+    const auto *answer = std::get_if<AppendResult>(&ended);
+    m_silences = answer != nullptr ? 0 : std::min(m_silences + 1, kMostSilences);
+    co_return answer != nullptr ? std::optional(*answer) : std::nullopt;
+}
+
 http::Awaitable<void> RolloutStatusLoop::write(RolloutReport report)
 {
     const auto end = m_follower.next();
-    const auto result = co_await m_store.append(StoreTable::Status, m_documents.statusKey(report.service),
-                                                m_documents.statusDocument(report), end);
+    const auto written = co_await append(report, end);
+    const auto result = written.value_or(AppendResult::Lost);
     logEvent(LogLevel::Info, "rollout-status")
         .with("service", report.service)
         .with("target", report.target)
@@ -125,6 +149,9 @@
     if (result == AppendResult::Conflict) {
         m_follower.restartRead(); // The read in flight would have brought the record that is there already.
     }
+    if (!written) {
+        co_return; // It has waited already.
+    }
     const auto until = m_clock.now() + kWritePause;
     const auto isRead = [&] { return result == AppendResult::Conflict && m_follower.next() > end; };
     while (!m_stopped && m_clock.now() < until && !isRead()) { // A wish may wake the timer early.
--- a/src/gateway/rollout_status_loop.h
+++ b/src/gateway/rollout_status_loop.h
@@ -51,6 +51,8 @@
     void forgetStatus(const std::string &key);
     http::Awaitable<void> loop();
     http::Awaitable<void> write(RolloutReport report);
+    /// Absent: the store hasn't answered soon, and the status may have been written.
+    http::Awaitable<std::optional<AppendResult>> append(const RolloutReport &report, StoreOffset end);
 
     boost::asio::io_context &m_io;
     const Clock &m_clock;
@@ -60,6 +62,7 @@
     RolloutStatuses m_statuses;
     boost::asio::steady_timer m_timer;
     Duration m_storeTime{};
+    int m_silences = 0; ///< Of the store, one after the other, at a final status.
     bool m_started = false;
     bool m_stopped = false;
 };
--- a/src/gateway/rollout_status_loop_test.cc
+++ b/src/gateway/rollout_status_loop_test.cc
@@ -4,6 +4,8 @@
 
 #include "http/spawn.h"
 
+#include <utility>
+
 #include <criterion/criterion.h>
 
 using namespace mimosahub;
@@ -75,6 +77,10 @@
                                          std::optional<StoreOffset> expectedEnd) override
     {
         ++appends;
+        if (std::exchange(losesAppend, false)) {
+            boost::asio::steady_timer never(co_await boost::asio::this_coro::executor);
+            co_await http::sleepOn(never);
+        }
         co_return expectedEnd == StoreOffset(records.size()) ? AppendResult::Appended : AppendResult::Conflict;
     }
 
@@ -82,6 +88,7 @@
     std::function<void()> onPage = [] {};
     int pages = 0;
     int appends = 0;
+    bool losesAppend = false; ///< The next one gets no answer.
 };
 
 class Fixture : public KeyedFollower::Listener
@@ -111,9 +118,9 @@
     void storeFailed(StoreTable /*table*/, const absl::Status & /*status*/) override
     {
     }
-    void want()
+    void want(RolloutStage stage = RolloutStage::Running)
     {
-        loop.want({{kOrder.service, kOrder.target, kRecord}, RolloutStage::Running, true});
+        loop.want({{kOrder.service, kOrder.target, kRecord}, stage, true});
         io.restart();
         io.run_for(500ms);
     }
@@ -149,6 +156,16 @@
     cr_assert_eq(it.store.appends, 2);
 }
 
+// The store was silent for a moment at the verdict: the status was written again after the call's timeout, when
+// the deadline had passed.
+Test(rollout_status_loop, a_final_status_without_an_answer_is_written_again_soon)
+{
+    Fixture it;
+    it.store.losesAppend = true;
+    it.want(RolloutStage::Completed);
+    cr_assert_eq(it.store.appends, 2);
+}
+
 Test(rollout_status_loop, the_time_of_the_store_is_measured)
 {
     Fixture it;
