--- a/review/rig_3.h
+++ b/review/rig_3.h
@@ -239,6 +239,10 @@
     {
         return m_options.id;
     }
+    pid_t pid() const
+    {
+        return m_pid;
+    }
     int exitStatus() const
     {
         return m_status;
