--- a/review/rig_3.cc
+++ b/review/rig_3.cc
@@ -671,8 +671,8 @@
 std::string temporaryFolder()
 {
     if (folderToRemove.empty()) {
-        char name[] = "/tmp/review-3-XXXXXX";
-        if (::mkdtemp(name) == nullptr) {
+        std::string name = (std::filesystem::temp_directory_path() / "review-3-XXXXXX").string();
+        if (::mkdtemp(name.data()) == nullptr) {
             std::perror("mkdtemp");
             std::exit(2);
         }
