Let answers wait for room, before bodies do, and count what was read of them beyond the budget

The memory account could only grant or refuse what an answer asked for. Whoever was refused had bytes in hand that were read already, and no way but to drop them.

A hold can now count what was read whatever the budget (holdReceived()), ask without being counted as refused (tryResize()), and wait (RoomWait, which also carries the wait of large bodies that BodyReader had for itself). Room that is given back goes to answers before bodies: they are of work that was accepted. What has stalled ends for an answer that waits as for one that asks. A wait ends after limits.room_wait, 1.5 s, so that answers that hold what the others wait for do not wait without end; its figure is below the two seconds after which callers leave a stream.

Nothing uses this but bodies yet.

--- a/src/http/body_reader.cc
+++ b/src/http/body_reader.cc
@@ -4,6 +4,7 @@
 #include "http/body_reader.h"
 
 #include "base/hash.h"
+#include "http/room_wait.h"
 #include "http/socket_buffers.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,8 +24,6 @@
 /// Bodies up to this size are read with the buffer that the connection has anyway.
 constexpr std::size_t kKeptBuffer = std::size_t(8) << 10U;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
-/// Time between looks for bodies that have stalled while others wait for room.
-constexpr Duration kStallPoll = std::chrono::milliseconds(250);
 
 /// A hash of the address from which \a stream's caller has connected.
 std::uint64_t clientOf(beast::tcp_stream &stream)
@@ -158,8 +157,8 @@
     }
     const auto admission = m_account.admit(m_hold, bytes + window);
     if (admission == MemoryAccount::Admission::Wait) {
-        if (!co_await waitForRoom(bytes + window)) {
-            m_account.recordRefusal(MemoryRefusal::WaitedTooLong, bytes);
+        RoomWait room(m_stream.get_executor());
+        if (!co_await room.take(m_hold, bytes + window, m_options.admissionWait)) {
             m_refusal = memoryRefusal(MemoryRefusal::WaitedTooLong);
             co_return false;
         }
@@ -172,22 +171,6 @@
     co_return true;
 }
 
-Awaitable<bool> BodyReader::waitForRoom(std::uint64_t bytes)
-{
-    asio::steady_timer timer(m_stream.get_executor());
-    const MemoryWait wait(m_account, m_hold, bytes, [&timer] { timer.cancel(); });
-    const auto end = m_clock.now() + m_options.admissionWait;
-    while (!wait.admitted() && m_clock.now() < end) {
-        m_account.endStalled();
-        if (wait.admitted()) {
-            break;
-        }
-        timer.expires_after(kStallPoll);
-        co_await timer.async_wait(kTuple);
-    }
-    co_return wait.admitted();
-}
-
 Awaitable<boost::system::error_code> BodyReader::readRest(const PaceWatch &watch)
 {
     m_stream.expires_never();
--- a/src/http/body_reader.h
+++ b/src/http/body_reader.h
@@ -53,7 +53,6 @@
     struct StopAtEnd;
 
     Awaitable<bool> admit(std::uint64_t bytes);
-    Awaitable<bool> waitForRoom(std::uint64_t bytes);
     Awaitable<boost::system::error_code> readRest(const PaceWatch &watch);
     bool holdWhatCame(std::size_t before);
     void widen(std::uint64_t window);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -28,7 +28,6 @@
 using asio::ip::tcp;
 using namespace asio::experimental::awaitable_operators;
 
-constexpr std::size_t kReadSize = std::size_t(16) * 1024;
 constexpr std::uint32_t kMaxHeadBytes = std::uint32_t(8) * 1024;
 constexpr std::size_t kMaxFramingBytes = std::size_t(16) * 1024; ///< Of a chunk's header, or of the trailer.
 constexpr int kMaxInterimAnswers = 8; ///< Answers with status 1xx before the final one.
@@ -254,7 +253,7 @@
 /// Reads once and sets \a data to what it brought of the body, which may be nothing.
 Awaitable<boost::system::error_code> ClientConnection::readOnce(std::string &data)
 {
-    auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(kReadSize), kTuple);
+    auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(kLongestReadBytes), kTuple);
     m_buffer.commit(n);
     if (ec == asio::error::eof) {
         ec = {};
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -24,6 +24,9 @@
     Duration unacknowledged = std::chrono::seconds(5); ///< Age of sent data that ends the connection.
 };
 
+/// Most bytes that one read of an answer takes from the network.
+constexpr std::size_t kLongestReadBytes = std::size_t(16) * 1024;
+
 /// One connection to a server. It carries one call at a time; after any error
 /// or timeout it is closed and never used again. An answer that exceeds a limit
 /// of its size ends with ResourceExhausted, a late one with DeadlineExceeded.
--- a/src/http/memory_account.cc
+++ b/src/http/memory_account.cc
@@ -62,6 +62,34 @@
     return !m_ended;
 }
 
+bool MemoryHold::tryResize(std::uint64_t bytes)
+{
+    if (bytes > m_bytes) {
+        const auto more = bytes - m_bytes;
+        if (!m_account.makeRoom(*this, more)) {
+            return false;
+        }
+        m_account.take(*this, more);
+        return true;
+    }
+    shrinkTo(bytes);
+    recordProgress();
+    return !m_ended;
+}
+
+void MemoryHold::holdReceived(std::uint64_t bytes)
+{
+    if (m_ended) {
+        return;
+    }
+    if (bytes > m_bytes) {
+        m_account.take(*this, bytes - m_bytes);
+        return;
+    }
+    shrinkTo(bytes);
+    recordProgress();
+}
+
 void MemoryHold::setBlocked(bool blocked)
 {
     m_blocked = blocked;
@@ -76,7 +104,9 @@
 MemoryWait::MemoryWait(MemoryAccount &account, MemoryHold &hold, std::uint64_t bytes, std::function<void()> onRoom)
     : m_account(account), m_hold(hold), m_bytes(bytes), m_onRoom(std::move(onRoom))
 {
-    m_account.m_waiting.push_back(this);
+    auto &queue = m_account.m_waiting;
+    const auto isBody = [](const MemoryWait *wait) { return !wait->m_hold.isAnswer(); };
+    queue.insert(hold.isAnswer() ? std::find_if(queue.begin(), queue.end(), isBody) : queue.end(), this);
     m_hold.m_waiting = true;
 }
 
@@ -105,21 +135,29 @@
 }
 
 bool MemoryAccount::grow(MemoryHold &hold, std::uint64_t more)
+{
+    if (makeRoom(hold, more)) {
+        take(hold, more);
+        return true;
+    }
+    if (!hold.m_ended) {
+        recordRefusal(MemoryRefusal::NoRoom, hold.m_bytes + more);
+    }
+    return false;
+}
+
+/// Ends what may end until \a hold can have \a more; false if it can't, or was ended itself.
+bool MemoryAccount::makeRoom(MemoryHold &hold, std::uint64_t more)
 {
     hold.recordProgress();
     while (!hold.m_ended && !fits(hold, more)) {
         auto *victim = victimFor(hold, hold.m_bytes + more);
         if (victim == nullptr) {
-            recordRefusal(MemoryRefusal::NoRoom, hold.m_bytes + more);
             return false;
         }
         end(*victim, hasStalled(*victim) ? MemoryRefusal::Stalled : MemoryRefusal::Largest);
     }
-    if (hold.m_ended) {
-        return false;
-    }
-    take(hold, more);
-    return true;
+    return !hold.m_ended;
 }
 
 void MemoryAccount::take(MemoryHold &hold, std::uint64_t bytes)
@@ -221,8 +259,9 @@
     giveBack(hold, hold.m_bytes);
 }
 
-void MemoryAccount::endStalled()
+void MemoryAccount::endForWaiting()
 {
+    endForAnswers();
     if (m_waiting.empty()) {
         return;
     }
@@ -240,6 +279,25 @@
     }
 }
 
+/// Answers wait for less than a body does, so that small holds that have stalled help them too.
+void MemoryAccount::endForAnswers()
+{
+    while (const auto *wait = firstWaitingAnswer()) {
+        auto *victim = victimFor(wait->m_hold, wait->m_hold.m_bytes + wait->m_bytes);
+        if (victim == nullptr) {
+            return;
+        }
+        end(*victim, hasStalled(*victim) ? MemoryRefusal::Stalled : MemoryRefusal::Largest);
+    }
+}
+
+const MemoryWait *MemoryAccount::firstWaitingAnswer() const
+{
+    const auto isLive = [](const MemoryWait *wait) { return wait->m_hold.isAnswer() && !wait->m_hold.m_ended; };
+    const auto it = std::find_if(m_waiting.begin(), m_waiting.end(), isLive);
+    return it == m_waiting.end() ? nullptr : *it;
+}
+
 bool MemoryAccount::endLongestStalled()
 {
     MemoryHold *longest = nullptr;
@@ -266,8 +324,15 @@
 /// A client that has used up its share does not hold up those behind it.
 void MemoryAccount::admitWaiting()
 {
+    if (!admitAnswers()) {
+        return;
+    }
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
         auto &wait = **it;
+        if (wait.m_hold.m_ended) {
+            ++it;
+            continue;
+        }
         if (!fits(wait.m_hold, wait.m_bytes)) {
             return;
         }
@@ -276,10 +341,31 @@
             continue;
         }
         it = m_waiting.erase(it);
-        wait.m_admitted = true;
-        take(wait.m_hold, wait.m_bytes);
-        wait.m_onRoom();
+        admit(wait);
     }
 }
 
+/// Admits the answers that fit, whatever waits before them; true if none is left.
+bool MemoryAccount::admitAnswers()
+{
+    auto it = m_waiting.begin();
+    while (it != m_waiting.end() && (*it)->m_hold.isAnswer()) {
+        auto &wait = **it;
+        if (!wait.m_hold.m_ended && fits(wait.m_hold, wait.m_bytes)) {
+            it = m_waiting.erase(it);
+            admit(wait);
+        } else {
+            ++it;
+        }
+    }
+    return firstWaitingAnswer() == nullptr;
+}
+
+void MemoryAccount::admit(MemoryWait &wait)
+{
+    wait.m_admitted = true;
+    take(wait.m_hold, wait.m_bytes);
+    wait.m_onRoom();
+}
+
 } // namespace mimosahub::http
--- a/src/http/memory_account.h
+++ b/src/http/memory_account.h
@@ -46,6 +46,9 @@
     double clientShare = 0.5; ///< Of the budget, for large bodies that one client address is still sending.
     std::size_t maxWaiting = 64; ///< Large bodies that wait for room; each has bytes in the kernel's buffers.
     Duration stall = std::chrono::seconds(1); ///< What makes no progress for so long is ended if others need room.
+    /// Longest time for which an answer that has begun isn't read on for lack of room. Callers give a stream
+    /// up after a pause of two seconds.
+    Duration roomWait = std::chrono::milliseconds(1500);
 };
 
 /// What a request holds beside its body: its header, the state of its connection, and what the kernel
@@ -73,6 +76,11 @@
     void shrinkTo(std::uint64_t bytes);
     /// Grows or shrinks to \a bytes; false as for grow().
     [[nodiscard]] bool resize(std::uint64_t bytes);
+    /// As resize(), but that there is no room counts as no refusal: the caller can wait.
+    [[nodiscard]] bool tryResize(std::uint64_t bytes);
+    /// Sets what is held to \a bytes for data that has been read, whatever the budget: it is in the process
+    /// already, and passing it on is what frees it. Nothing is held any more if the hold was ended.
+    void holdReceived(std::uint64_t bytes);
     /// Records that bytes came for which room was taken before, or that the reader took some.
     void recordProgress();
     /// Whether its bytes wait for a reader: it has stalled if that takes nothing.
@@ -92,6 +100,10 @@
     {
         m_client = client;
     }
+    [[nodiscard]] MemoryAccount &account() const
+    {
+        return m_account;
+    }
     [[nodiscard]] std::uint64_t bytes() const
     {
         return m_bytes;
@@ -110,6 +122,12 @@
     friend class MemoryAccount;
     friend class MemoryWait;
 
+    /// Whether it is of an answer: of work that was accepted.
+    [[nodiscard]] bool isAnswer() const
+    {
+        return m_use == MemoryUse::Answer || m_use == MemoryUse::Stream;
+    }
+
     MemoryAccount &m_account;
     MemoryUse m_use;
     std::function<void()> m_onEnd;
@@ -123,8 +141,8 @@
     MemoryRefusal m_reason = MemoryRefusal::NoRoom;
 };
 
-/// A body that waits for room, in the frame of the coroutine that reads it. Leaves the
-/// queue when it is destroyed.
+/// A body or an answer that waits for room, in the frame of the coroutine that reads it. Answers go
+/// before bodies: they are of work that was accepted. Leaves the queue when it is destroyed.
 class MemoryWait
 {
 public:
@@ -162,9 +180,9 @@
 
 /// Bounds the sum of bytes that requests and answers hold in this process, and decides what is
 /// refused or ended when the budget is used up: what has stalled, then the largest that is
-/// unfinished. Requests that were received whole are never ended. Decides only; all I/O is with
-/// its holds' owners. One thread. Taking and giving back within the budget costs the same
-/// however many holds there are.
+/// unfinished. Requests that were received whole are never ended. What was read of an answer counts
+/// even beyond the budget: a few reads of each. Decides only; all I/O is with its holds' owners. One thread.
+/// Taking and giving back within the budget costs the same however many holds there are.
 class MemoryAccount
 {
 public:
@@ -181,8 +199,8 @@
 
     /// Takes the \a bytes of a body whose length is known before any of it is read.
     [[nodiscard]] Admission admit(MemoryHold &hold, std::uint64_t bytes);
-    /// Ends bodies that have stalled while others wait for room.
-    void endStalled();
+    /// Makes room for what waits: ends what has stalled or, for an answer, what grow() would end.
+    void endForWaiting();
     /// Ends what has stalled for the longest time; false if nothing has.
     bool endLongestStalled();
     /// Counts a refusal that a hold's owner has decided.
@@ -205,6 +223,10 @@
     {
         return m_options;
     }
+    [[nodiscard]] const Clock &clock() const
+    {
+        return m_clock;
+    }
 
 private:
     friend class MemoryHold;
@@ -212,6 +234,7 @@
     using Holds = boost::intrusive::list<MemoryHold, boost::intrusive::constant_time_size<false>>;
 
     [[nodiscard]] bool grow(MemoryHold &hold, std::uint64_t more);
+    [[nodiscard]] bool makeRoom(MemoryHold &hold, std::uint64_t more);
     void take(MemoryHold &hold, std::uint64_t bytes);
     void giveBack(MemoryHold &hold, std::uint64_t bytes);
     [[nodiscard]] bool isLarge(std::uint64_t bytes) const
@@ -225,14 +248,18 @@
     [[nodiscard]] bool mayEndFor(const MemoryHold &hold, std::uint64_t bytes) const;
     [[nodiscard]] MemoryHold *victimFor(const MemoryHold &hold, std::uint64_t bytes);
     void end(MemoryHold &hold, MemoryRefusal reason);
+    void endForAnswers();
+    [[nodiscard]] const MemoryWait *firstWaitingAnswer() const;
     void admitWaiting();
+    [[nodiscard]] bool admitAnswers();
+    void admit(MemoryWait &wait);
 
     const Clock &m_clock;
     MemoryOptions m_options;
     MemoryObserver *m_observer = nullptr;
     std::uint64_t m_held = 0;
     Holds m_holds;
-    std::list<MemoryWait *> m_waiting; ///< In the order of their arrival.
+    std::list<MemoryWait *> m_waiting; ///< Answers, then bodies, each in the order of their arrival.
 };
 
 } // namespace mimosahub::http
--- a/src/http/memory_account_test.cc
+++ b/src/http/memory_account_test.cc
@@ -98,10 +98,10 @@
     const MemoryWait wait(load.account, last, kBody, [] {});
     load.clock.advance(900ms);
     load.holds[1]->recordProgress();
-    load.account.endStalled();
+    load.account.endForWaiting();
     cr_assert(load.ends == 0 && !wait.admitted());
     load.clock.advance(100ms);
-    load.account.endStalled();
+    load.account.endForWaiting();
     cr_assert(wait.admitted() && load.ends == 1);
     cr_assert(load.holds[0]->ended() && load.holds[0]->reason() == MemoryRefusal::Stalled);
     cr_assert(!load.holds[1]->ended());
@@ -248,6 +248,80 @@
     cr_assert(load.ends == 2);
 }
 
+// What was read of an answer is in the process already: to drop it would free little and lose it.
+Test(memory_account, what_was_read_of_an_answer_counts_beyond_the_budget)
+{
+    Load load(10 * kRequestOverheadBytes);
+    auto &request = load.add();
+    cr_assert(request.grow(9 * kRequestOverheadBytes));
+    request.setReceived();
+    auto &stream = load.add(MemoryUse::Stream);
+    stream.holdReceived(2 * kRequestOverheadBytes);
+    cr_assert(load.account.held() == 11 * kRequestOverheadBytes && load.ends == 0);
+    cr_assert(!load.add().grow(1), "nothing new has room meanwhile");
+    cr_assert(!stream.tryResize(stream.bytes() + 1) && stream.tryResize(stream.bytes()));
+    cr_assert(load.observer.refusals.size() == 1, "an answer that can wait is not refused");
+    stream.holdReceived(kRequestOverheadBytes);
+    cr_assert(load.account.held() == 10 * kRequestOverheadBytes);
+}
+
+// Room that is given back goes to streams that have begun before it goes to bodies that came earlier.
+Test(memory_account, answers_that_wait_go_before_bodies)
+{
+    Load load;
+    while (load.account.admit(load.add(), kBody) == Admission::Admitted) { }
+    for (const auto &hold : load.holds) {
+        hold->setReceived();
+    }
+    auto &body = load.add();
+    cr_assert(load.account.admit(body, kBody) == Admission::Wait);
+    const MemoryWait bodyWait(load.account, body, kBody, [] {});
+    auto &filler = load.add();
+    filler.setReceived();
+    filler.holdReceived(kBudget - load.account.held());
+    auto &stream = load.add(MemoryUse::Stream);
+    const MemoryWait streamWait(load.account, stream, kRequestOverheadBytes, [] {});
+    filler.shrinkTo(0);
+    cr_assert(streamWait.admitted() && !bodyWait.admitted());
+    load.holds.front()->shrinkTo(0);
+    cr_assert(bodyWait.admitted());
+}
+
+// A stream that waits is helped by whatever has stalled, however small, and by a larger unfinished answer.
+Test(memory_account, what_stalls_or_is_larger_ends_for_a_stream_that_waits)
+{
+    Load load(20 * kRequestOverheadBytes);
+    auto &unread = load.add(MemoryUse::Stream);
+    cr_assert(unread.grow(2 * kRequestOverheadBytes));
+    unread.setBlocked(true);
+    auto &request = load.add();
+    request.setReceived();
+    request.holdReceived(18 * kRequestOverheadBytes);
+    auto &stream = load.add(MemoryUse::Stream);
+    const MemoryWait wait(load.account, stream, kRequestOverheadBytes, [] {});
+    load.account.endForWaiting();
+    cr_assert(!wait.admitted() && load.ends == 0);
+    load.clock.advance(1s);
+    load.account.endForWaiting();
+    cr_assert(wait.admitted() && unread.ended() && load.ends == 1);
+}
+
+// The account may end what waits for room itself: it takes nothing afterwards.
+Test(memory_account, an_answer_that_is_ended_while_it_waits_gets_no_room)
+{
+    Load load(20 * kRequestOverheadBytes);
+    auto &answer = load.add(MemoryUse::Answer);
+    cr_assert(answer.grow(15 * kRequestOverheadBytes));
+    auto &request = load.add();
+    cr_assert(request.grow(5 * kRequestOverheadBytes));
+    request.setReceived();
+    const MemoryWait wait(load.account, answer, kRequestOverheadBytes, [] {});
+    cr_assert(load.add().grow(kRequestOverheadBytes));
+    cr_assert(answer.ended() && !wait.admitted() && answer.bytes() == 0);
+    request.shrinkTo(0);
+    cr_assert(!wait.admitted() && answer.bytes() == 0);
+}
+
 // At the limit of connections the one that has made no progress for the longest time goes.
 Test(memory_account, what_has_stalled_for_the_longest_time_ends_for_a_new_connection)
 {
@@ -276,7 +350,7 @@
             } else if (kind == 1 && load.account.admit(hold, bytes) == Admission::Wait) {
                 waits.push_back(std::make_unique<MemoryWait>(load.account, hold, bytes, [] {}));
             } else if (kind == 2) {
-                load.account.endStalled();
+                load.account.endForWaiting();
             } else if (kind == 3) {
                 static_cast<void>(load.holds.front()->resize(bytes));
             } else if (kind == 4) {
