Resume a stream from what its caller has got, and pass on what was read without asking for room

Cause: EventSplitter::lastId() was the id of the last event that was read, and was sent to the next endpoint as that of the last one that was passed on. In between the account was asked for room; without any the events were dropped and the stream was sent again, to go on behind them. The same happened before the first event, also on routes that can't be resumed, and where the account ended a stream between a read and its hold.

Why this works: the two positions are different types. WholeEvents is what a read gives; StreamPosition moves only by what was written to the caller and is the only source of a Last-Event-Id; the splitter has no last id any more. What was read is counted beyond the budget and passed on; room is asked before more is read, and without any the stream rests, for limits.room_wait at most, seen by stream-rests, stream-goes-on, stream-given-up and two metrics. A stream that is given up for memory is cut and not made again by a second endpoint. A stream whose last event has no id of its own, or one that came twice in a row, isn't resumed: its caller would get that event twice.

ForwardedStream takes the relay out of ForwardedRequest, so that it is tested without sockets.

Tests: short_memory_test fills an account to its last 200 bytes between two events. Properties and moments in forwarded_stream_test and stream_position_test.

--- a/src/forward/event_splitter.cc
+++ b/src/forward/event_splitter.cc
@@ -45,12 +45,51 @@
     return event.starts_with(kLine.substr(1)) || event.find(kLine) != std::string_view::npos;
 }
 
+/// The first line of \a text, which it is taken from: up to a line feed, a carriage return, or both.
+std::string_view takeLine(std::string_view &text)
+{
+    const auto end = std::min(text.find_first_of("\r\n"), text.size());
+    const auto line = text.substr(0, end);
+    text.remove_prefix(end);
+    text.remove_prefix(text.starts_with("\r\n") ? 2 : std::min<std::size_t>(1, text.size()));
+    return line;
+}
+
+/// The value of \a line if it is one of the field \a name.
+std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name) || (line.size() > name.size() && line[name.size()] != ':')) {
+        return std::nullopt;
+    }
+    line.remove_prefix(std::min(name.size() + 1, line.size()));
+    line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+    return line;
+}
+
+/// Adds the id of \a event to \a ids, unless it holds neither an id nor data.
+void recordEvent(std::string_view event, std::vector<std::optional<std::string>> &ids)
+{
+    std::optional<std::string> id;
+    bool hasData = false;
+    while (!event.empty()) {
+        const auto line = takeLine(event);
+        if (const auto value = fieldValue(line, "id")) {
+            id = *value;
+        }
+        hasData = hasData || fieldValue(line, "data");
+    }
+    if (id || hasData) {
+        ids.push_back(std::move(id));
+    }
+}
+
 } // namespace
 
-std::string EventSplitter::take(std::string_view bytes)
+WholeEvents EventSplitter::take(std::string_view bytes)
 {
+    WholeEvents whole;
     if (m_tooLong || m_foreign) {
-        return {};
+        return whole;
     }
     m_rest += bytes;
     std::size_t begin = 0;
@@ -65,10 +104,10 @@
         if (m_foreign) {
             break;
         }
-        recordEvent(event);
+        recordEvent(event, whole.ids);
         begin = end;
     }
-    std::string whole = m_rest.substr(0, begin);
+    whole.bytes = m_rest.substr(0, begin);
     if (m_foreign) {
         // What follows isn't the stream's, however long: an endpoint may send it all in one read.
         m_rest.clear();
@@ -80,23 +119,4 @@
     return whole;
 }
 
-void EventSplitter::recordEvent(std::string_view event)
-{
-    ++m_events;
-    constexpr std::string_view kIdField = "id:";
-    std::size_t begin = 0;
-    while (begin < event.size()) {
-        const auto end = event.find('\n', begin);
-        auto line = event.substr(begin, end - begin);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        if (line.starts_with(kIdField)) {
-            line.remove_prefix(kIdField.size());
-            m_lastId = line.starts_with(' ') ? line.substr(1) : line;
-        }
-        begin = end == std::string_view::npos ? event.size() : end + 1;
-    }
-}
-
 } // namespace mimosahub
--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "forward/whole_events.h"
+
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -7,23 +10,21 @@
 {
 
 /// Splits a stream of server-sent events at event boundaries without changing a byte,
-/// so that the forwarded stream never ends within an event.
+/// so that the forwarded stream never ends within an event. It knows what was read of one answer, not
+/// what its caller has got: that is StreamPosition.
 class EventSplitter
 {
 public:
     static constexpr std::size_t kMaxEventBytes = std::size_t(1) << 20U;
 
-    EventSplitter() = default;
-    /// Continues a stream after the event with id \a lastId. \a maxEventBytes bounds
-    /// the memory that one event can take.
-    explicit EventSplitter(std::string lastId, std::size_t maxEventBytes = kMaxEventBytes)
-        : m_maxEventBytes(maxEventBytes), m_lastId(std::move(lastId))
+    /// \a maxEventBytes bounds the memory that one event can take.
+    explicit EventSplitter(std::size_t maxEventBytes = kMaxEventBytes) : m_maxEventBytes(maxEventBytes)
     {
     }
 
     /// Appends \a bytes and returns all events that are now complete, unchanged.
     /// Returns none from an event on that is too long or holds the head of an HTTP answer.
-    [[nodiscard]] std::string take(std::string_view bytes);
+    [[nodiscard]] WholeEvents take(std::string_view bytes);
     /// Whether an event exceeded the limit: the stream can't be read on.
     [[nodiscard]] bool tooLong() const
     {
@@ -40,27 +41,13 @@
     {
         return m_rest;
     }
-    /// Number of complete events so far.
-    [[nodiscard]] std::size_t events() const
-    {
-        return m_events;
-    }
-    /// The id of the last complete event that had one; empty if none had.
-    [[nodiscard]] const std::string &lastId() const
-    {
-        return m_lastId;
-    }
 
 private:
-    void recordEvent(std::string_view event);
-
     std::size_t m_maxEventBytes = kMaxEventBytes;
     std::string m_rest;
     std::size_t m_searched = 0; ///< No event of the rest ends before this position.
     bool m_tooLong = false;
     bool m_foreign = false;
-    std::string m_lastId;
-    std::size_t m_events = 0;
 };
 
 } // namespace mimosahub
--- a/src/forward/event_splitter_fuzz.cc
+++ b/src/forward/event_splitter_fuzz.cc
@@ -8,8 +8,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace
 {
@@ -19,8 +21,7 @@
 
 struct SplitResult {
     std::string passed;
-    std::string lastId;
-    std::size_t events = 0;
+    std::vector<std::optional<std::string>> ids;
     bool tooLong = false;
     bool foreign = false;
 
@@ -37,14 +38,14 @@
 /// Reads \a text in pieces of \a piece bytes.
 SplitResult splitInPieces(std::string_view text, std::size_t piece)
 {
-    mimosahub::EventSplitter splitter({}, kMaxEventBytes);
+    mimosahub::EventSplitter splitter(kMaxEventBytes);
     SplitResult result;
     while (!text.empty()) {
-        result.passed += splitter.take(text.substr(0, piece));
+        const auto events = splitter.take(text.substr(0, piece));
+        result.passed += events.bytes;
+        result.ids.insert(result.ids.end(), events.ids.begin(), events.ids.end());
         text.remove_prefix(std::min(piece, text.size()));
     }
-    result.lastId = splitter.lastId();
-    result.events = splitter.events();
     result.tooLong = splitter.tooLong();
     result.foreign = splitter.foreign();
     require(!result.foreign || splitter.rest().empty());
--- /dev/null
+++ b/src/forward/stream_position.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "forward/whole_events.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace mimosahub
+{
+
+/// How far the caller of a stream has got: the events that were passed on to it, from whichever
+/// endpoints they came. A stream is resumed from here only; what was merely read of an endpoint moves nothing.
+class StreamPosition
+{
+public:
+    /// Longest id that a call can name, in bytes.
+    static constexpr std::size_t kMaxIdBytes = 256;
+
+    /// Moves behind \a events, which the caller has got.
+    void recordPassedOn(const WholeEvents &events);
+    /// Whether an event was passed on.
+    [[nodiscard]] bool begun() const
+    {
+        return m_begun;
+    }
+    /// Whether an endpoint can be told where to go on: the last event has an id that stands for it alone.
+    [[nodiscard]] bool resumable() const
+    {
+        return !m_begun || m_lastId.has_value();
+    }
+    /// The id behind which the next endpoint is to go on; absent: none was passed on.
+    [[nodiscard]] const std::optional<std::string> &lastId() const
+    {
+        return m_lastId;
+    }
+
+private:
+    void recordEvent(const std::optional<std::string> &id);
+
+    std::optional<std::string> m_lastId; ///< Of the last event, if it is fit to resume from.
+    bool m_begun = false;
+    bool m_repeats = false; ///< An id came twice in a row: ids don't tell events apart.
+};
+
+} // namespace mimosahub
--- a/src/gateway/answer_memory.cc
+++ b/src/gateway/answer_memory.cc
@@ -1,3 +1,6 @@
+// What has been read of an answer is counted and never refused: it is in the process already, and passing it
+// on is what frees it. Room is asked for before more is read.
+
 #include "gateway/answer_memory.h"
 
 namespace mimosahub
@@ -9,15 +12,30 @@
     return m_stream->grow(http::kStreamOverheadBytes);
 }
 
-bool AnswerMemory::holdEvents(std::uint64_t bytes)
+bool AnswerMemory::hasRoomForRead(std::uint64_t unfinished)
+{
+    m_stream->holdReceived(http::kStreamOverheadBytes + unfinished);
+    return http::RoomWait::tryTakeForRead(*m_stream, unfinished);
+}
+
+http::Awaitable<bool> AnswerMemory::waitForRead(std::uint64_t unfinished, Duration longest)
+{
+    const bool taken = co_await m_room.takeForRead(*m_stream, unfinished, longest);
+    if (!taken) {
+        m_stream->shrinkTo(0); // At once, for those that wait still.
+    }
+    co_return taken;
+}
+
+void AnswerMemory::holdEvents(std::uint64_t bytes)
 {
-    return !m_stream || m_stream->resize(http::kStreamOverheadBytes + bytes);
+    m_stream->holdReceived(http::kStreamOverheadBytes + bytes);
 }
 
 http::Awaitable<absl::StatusOr<std::string>> AnswerMemory::readWhole(http::ClientConnection &connection,
                                                                      Duration timeout, std::uint64_t maxBytes)
 {
-    const Reading reading(*this, connection);
+    const Reading reading(*this, [&connection] { connection.close(); });
     m_whole.emplace(m_account, http::MemoryUse::Answer, [this] { stop(); });
     auto body = co_await connection.readRest(timeout, maxBytes, &*m_whole);
     if (body.ok()) {
@@ -41,9 +59,9 @@
 void AnswerMemory::stop()
 {
     if (m_writing) {
-        m_exchange.cut();
-    } else if (m_source != nullptr) {
-        m_source->close();
+        m_cutCaller();
+    } else if (m_closeSource) {
+        m_closeSource();
     }
 }
 
--- a/src/gateway/answer_memory.h
+++ b/src/gateway/answer_memory.h
@@ -2,8 +2,11 @@
 
 #include "http/client.h"
 #include "http/memory_account.h"
-#include "http/server.h"
+#include "http/room_wait.h"
 
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
 #include <optional>
 
 namespace mimosahub
@@ -14,8 +17,9 @@
 class AnswerMemory
 {
 public:
-    /// Both arguments must outlive this object.
-    AnswerMemory(http::MemoryAccount &account, http::Exchange &exchange) : m_account(account), m_exchange(exchange)
+    /// \a account must outlive this object. \a cutCaller gives up what is being written to the caller.
+    AnswerMemory(boost::asio::any_io_executor executor, http::MemoryAccount &account, std::function<void()> cutCaller)
+        : m_account(account), m_cutCaller(std::move(cutCaller)), m_room(std::move(executor))
     {
     }
     AnswerMemory(const AnswerMemory &) = delete;
@@ -23,29 +27,46 @@
 
     /// Takes what a stream holds beside its events; false if there is no room.
     [[nodiscard]] bool reserveStream();
-    /// Takes \a bytes for events that are not passed on yet; false if there is no room, or the stream was ended.
-    [[nodiscard]] bool holdEvents(std::uint64_t bytes);
+    /// Whether more of a stream may be read, \a unfinished bytes of whose last event have come: the beginning of
+    /// an event always, more of it if there is room.
+    [[nodiscard]] bool hasRoomForRead(std::uint64_t unfinished);
+    /// Waits until hasRoomForRead() would hold; false if it didn't within \a longest or the account's own
+    /// limit, or the stream was ended. What the stream held is then given back.
+    http::Awaitable<bool> waitForRead(std::uint64_t unfinished, Duration longest);
+    /// Counts \a bytes of events that were read and are not passed on yet.
+    void holdEvents(std::uint64_t bytes);
     /// The stream was ended in favour of others.
     [[nodiscard]] bool streamEnded() const
     {
         return m_stream && m_stream->ended();
     }
+    /// By which waits are timed.
+    [[nodiscard]] const Clock &clock() const
+    {
+        return m_account.clock();
+    }
+    /// Ends each wait for room: the request is given up.
+    void interruptWait()
+    {
+        m_room.interrupt();
+    }
     /// Reads the rest of a whole answer of at most \a maxBytes from \a connection, and holds it until the
-    /// next one is read. ResourceExhausted if there is no room for it.
+    /// next one is read. Errors as ClientConnection::readRest().
     http::Awaitable<absl::StatusOr<std::string>> readWhole(http::ClientConnection &connection, Duration timeout,
                                                            std::uint64_t maxBytes);
 
-    /// The connection from which a stream is read, for as long as this lives.
+    /// The source from which a stream is read, for as long as this lives.
     class Reading
     {
     public:
-        Reading(AnswerMemory &memory, http::ClientConnection &connection) : m_memory(memory)
+        /// \a closeSource ends its reads.
+        Reading(AnswerMemory &memory, std::function<void()> closeSource) : m_memory(memory)
         {
-            m_memory.m_source = &connection;
+            m_memory.m_closeSource = std::move(closeSource);
         }
         ~Reading()
         {
-            m_memory.m_source = nullptr;
+            m_memory.m_closeSource = nullptr;
         }
         Reading(const Reading &) = delete;
         Reading &operator=(const Reading &) = delete;
@@ -78,10 +99,11 @@
     void stop();
 
     http::MemoryAccount &m_account;
-    http::Exchange &m_exchange;
+    std::function<void()> m_cutCaller;
+    http::RoomWait m_room;
     std::optional<http::MemoryHold> m_whole;
     std::optional<http::MemoryHold> m_stream;
-    http::ClientConnection *m_source = nullptr; ///< Null while nothing is read.
+    std::function<void()> m_closeSource; ///< Null while nothing is read.
     bool m_writing = false;
 };
 
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -1,14 +1,12 @@
 // One coroutine walks through the request: resolve, prepare the stages' results,
 // send, and after each send ask SendPolicy what comes next. What is under way is
 // held by objects whose destruction gives it up, so that a caller that leaves
-// needs no further code.
-//
-// A streamed answer is passed on in whole events. Its header goes out with the
-// first event: until then another endpoint may still answer.
+// needs no further code. Streamed answers are ForwardedStream's.
 
 #include "gateway/forwarded_request.h"
 
 #include "base/log.h"
+#include "gateway/exchange_sink.h"
 #include "mimosahub/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -56,6 +54,32 @@
 
 } // namespace
 
+/// The stream of one send.
+class ForwardedRequest::Source : public StreamSource
+{
+public:
+    Source(ForwardedRequest &request, EndpointSend &send) : m_request(request), m_send(send)
+    {
+    }
+
+    http::Awaitable<absl::StatusOr<std::string>> read() override
+    {
+        return m_request.readStream(m_send);
+    }
+    void close() override
+    {
+        m_send.connection().close();
+    }
+    [[nodiscard]] Duration left() const override
+    {
+        return m_request.left();
+    }
+
+private:
+    ForwardedRequest &m_request;
+    EndpointSend &m_send;
+};
+
 ForwardedRequest::ForwardedRequest(ForwardContext &context, http::Exchange &exchange)
     : m_context(context),
       m_exchange(exchange),
@@ -63,7 +87,8 @@
       m_arrival(context.clock.now()),
       m_giveUpAt(m_arrival),
       m_uselessAt(m_arrival),
-      m_memory(context.memory, exchange)
+      m_memory(context.io.get_executor(), context.memory, [&exchange] { exchange.cut(); }),
+      m_stream(m_memory, *this)
 {
     m_context.stop.open.insert(this);
 }
@@ -80,6 +105,7 @@
 {
     m_giveUpAt = m_context.clock.now();
     wake();
+    m_memory.interruptWait();
     if (m_connection != nullptr) {
         m_connection->close();
     }
@@ -150,7 +176,7 @@
     m_loss = SendLoss::InternalError;
     m_connection = nullptr;
     logEvent(LogLevel::Error, "handler-failed").with("request", m_call.id).with("error", std::string_view(what));
-    if (m_exchange.answered() && !m_streamBegun) {
+    if (m_exchange.answered() && !m_stream.begun()) {
         m_exchange.closeAfterwards();
         co_return;
     }
@@ -234,7 +260,7 @@
 http::Awaitable<std::optional<Refusal>> ForwardedRequest::prepare()
 {
     const auto engine = m_context.selector.preferred(m_sends->query(), m_context.clock.now());
-    const auto uselessAt = m_streamBegun ? m_giveUpAt : m_uselessAt;
+    const auto uselessAt = m_stream.begun() ? m_giveUpAt : m_uselessAt;
     const StagedRequest staged{*m_route, m_call, *m_view, m_arrival, uselessAt, m_rank};
     m_stages.reset();
     m_stages = std::make_unique<RequestStages>(m_context, staged, engine ? std::optional(engine->zone) : std::nullopt);
@@ -306,8 +332,8 @@
     }
     now.query.tokens = static_cast<double>(m_call.promptTokens);
     now.left = left();
-    now.streamBegun = m_streamBegun;
-    now.resumable = !m_events.lastId().empty();
+    now.streamBegun = m_stream.begun();
+    now.resumable = m_stream.position().resumable();
     now.inputsReadable = !m_stages || m_stages->readable();
     now.suspected = m_isTrial || !m_context.quarantine.table().mayRetry(m_contents);
     return now;
@@ -321,7 +347,7 @@
     if (m_workspace != nullptr) {
         options.workspace = m_workspace->id;
     }
-    options.lastEventId = m_events.lastId().empty() ? m_call.lastEventId : std::optional(m_events.lastId());
+    options.lastEventId = m_stream.position().begun() ? m_stream.position().lastId() : m_call.lastEventId;
     options.inputs = m_stages->finalInputs();
     return options;
 }
@@ -332,9 +358,9 @@
         return std::nullopt;
     }
     AnswerTimes times{*m_firstByte, std::nullopt};
-    if (m_events.events() > 1) {
+    if (m_stream.eventsOfAnswer() > 1) {
         const auto stream = m_context.clock.now() - m_sentAt - *m_firstByte;
-        times.gap = stream / static_cast<Duration::rep>(m_events.events() - 1);
+        times.gap = stream / static_cast<Duration::rep>(m_stream.eventsOfAnswer() - 1);
     }
     return times;
 }
@@ -374,7 +400,7 @@
         m_sending = false;
         switch (next) {
         case NextStep::PassOn:
-            if (m_streamBegun && report.result != SendResult::Answered) {
+            if (m_stream.begun() && report.result != SendResult::Answered) {
                 co_await refuse(refusalAfter(report));
             } else if (report.answer) {
                 const AnswerMemory::Writing writing(m_memory);
@@ -483,6 +509,7 @@
     }
     m_sentAt = m_context.clock.now();
     m_firstByte.reset();
+    m_stream.beginAnswer();
     auto request = m_context.protocol.writeCall(m_exchange.request(), options(endpoint.info.id));
     m_connection = &send->connection();
     m_sending = true;
@@ -536,7 +563,7 @@
     LostSend lost;
     lost.request = m_call.id;
     lost.contents = m_contents;
-    lost.events = static_cast<int>(m_events.events());
+    lost.events = static_cast<int>(m_stream.eventsOfAnswer());
     lost.sentAt = m_sentAt;
     lost.lostAt = m_context.clock.now();
     return lost;
@@ -576,7 +603,7 @@
         co_return co_await withhold(send, std::move(report));
     }
     const bool events = http::header(*head, "Content-Type").starts_with(http::kEventStreamType);
-    if (m_streamBegun && !(events && isSuccess(report.head.status))) {
+    if (m_stream.begun() && !(events && isSuccess(report.head.status))) {
         const bool serverError = report.head.status >= kFirstErrorStatus;
         report.result = serverError ? SendResult::ServerError : SendResult::Lost;
         report.loss = SendLoss::BrokenOff;
@@ -728,89 +755,52 @@
 http::Awaitable<ForwardedRequest::SendReport> ForwardedRequest::relay(EndpointSend &send, const http::Response &head,
                                                                       SendReport report)
 {
-    // What an earlier endpoint had begun of an event comes again as a whole.
-    m_events = EventSplitter(m_events.lastId());
-    const AnswerMemory::Reading reading(m_memory, send.connection());
-    while (true) {
-        const auto data = co_await readStream(send);
-        if (!data.ok()) {
-            report.loss = m_memory.streamEnded() ? SendLoss::NoMemory : lossOf(data.status());
-            report.why = absl::StrCat("the stream broke after ", m_events.events(),
-                                      " events: ", std::string(data.status().message()));
-            co_return report;
-        }
-        const auto whole = data->empty() ? std::string() : m_events.take(*data);
-        if (!m_memory.holdEvents(whole.size() + m_events.rest().size())) {
-            report.loss = SendLoss::NoMemory;
-            report.why = absl::StrCat("there is no memory for the event after ", m_events.events(), " events");
-            send.connection().close();
-            co_return report;
-        }
-        if (!whole.empty()) {
-            noteFirstByte();
-            m_stages->drop();
-            if (!co_await passOn(whole, head)) {
-                report.loss = SendLoss::CallerGone;
-                report.why = "the caller doesn't read";
-                co_return report;
-            }
-        }
-        if (m_events.tooLong() || m_events.foreign()) {
-            report.loss = SendLoss::BrokenOff;
-            report.why = absl::StrCat("the event after ", m_events.events(), " events is too long or another answer");
-            send.connection().close();
-            co_return report;
-        }
-        if (data->empty()) {
-            break;
-        }
-    }
-    if (!m_events.rest().empty()) {
-        report.loss = SendLoss::BrokenOff;
-        report.why = "the stream ended within an event";
-        send.connection().close();
-        co_return report;
-    }
-    if (!m_streamBegun) {
-        if (!co_await passOn("", head)) {
-            report.loss = SendLoss::CallerGone;
-            report.why = "the caller doesn't read";
-            co_return report;
-        }
-    }
-    report.result = SendResult::Answered;
-    report.why = absl::StrCat(m_events.events(), " events");
-    static_cast<void>(co_await m_exchange.finishStream());
+    Source source(*this, send);
+    ExchangeSink sink(m_context.protocol, m_exchange, head);
+    auto end = co_await m_stream.relay(source, sink);
+    report.result = end.loss == SendLoss::None ? SendResult::Answered : SendResult::Lost;
+    report.loss = end.loss;
+    report.why = std::move(end.why);
     co_return report;
 }
 
-http::Awaitable<bool> ForwardedRequest::passOn(const std::string &events, const http::Response &head)
+void ForwardedRequest::eventsCame()
 {
-    if (!m_streamBegun) {
-        m_streamBegun = true;
-        auto answer = m_context.protocol.callerHead(head);
-        answer.erase(http::beast::http::field::content_length);
-        if (!(co_await m_exchange.startStream(std::move(answer))).ok()) {
-            co_return false;
-        }
-    }
-    if (events.empty()) {
-        co_return true;
-    }
-    const AnswerMemory::Writing writing(m_memory);
-    co_return (co_await m_exchange.writeChunk(events)).ok();
+    noteFirstByte();
+    m_stages->drop();
+}
+
+void ForwardedRequest::restBegan()
+{
+    m_context.metrics.recordStreamRest();
+    logEvent(LogLevel::Info, "stream-rests")
+        .with("request", m_call.id)
+        .with("endpoint", m_endpoint)
+        .with("events", m_stream.eventsOfAnswer())
+        .with("held", m_context.memory.held());
+}
+
+void ForwardedRequest::restEnded(Duration rested, bool goesOn)
+{
+    m_context.metrics.recordStreamRestEnd(rested, goesOn);
+    logEvent(goesOn ? LogLevel::Info : LogLevel::Warning, goesOn ? "stream-goes-on" : "stream-given-up")
+        .with("request", m_call.id)
+        .with("endpoint", m_endpoint)
+        .with("events", m_stream.eventsOfAnswer())
+        .with("rested", rested)
+        .with("held", m_context.memory.held());
 }
 
 http::Awaitable<void> ForwardedRequest::refuse(Refusal refusal)
 {
-    if (m_streamBegun) {
+    if (m_stream.begun()) {
         noteStreamCut();
     }
     if (refusal.reason == Reason::Quarantined) {
         m_context.quarantine.recordRefusal();
     }
     logEnd(outcomeName(refusal.outcome), absl::StrCat(std::string(reasonName(refusal.reason)), ": ", refusal.detail));
-    if (m_streamBegun) {
+    if (m_stream.begun()) {
         // The caller sees that the stream broke, since it has no end.
         m_exchange.closeAfterwards();
         co_return;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -2,7 +2,6 @@
 
 #include "base/random.h"
 #include "forward/endpoint_selector.h"
-#include "forward/event_splitter.h"
 #include "forward/retry_obstacle.h"
 #include "forward/send_policy.h"
 #include "gateway/answer_memory.h"
@@ -12,6 +11,7 @@
 #include "gateway/duty_reporter.h"
 #include "gateway/endpoint_send.h"
 #include "gateway/forward_metrics.h"
+#include "gateway/forwarded_stream.h"
 #include "gateway/gateway_view.h"
 #include "gateway/notice_recorder.h"
 #include "gateway/quarantine_director.h"
@@ -69,11 +69,11 @@
 /// The life of one request that is forwarded as it is: route, stages, sends, and
 /// the answer. Lives within the coroutine of its caller's connection; when the
 /// caller leaves, it is destroyed, which gives up all that is under way.
-class ForwardedRequest
+class ForwardedRequest : private StreamObserver
 {
 public:
     ForwardedRequest(ForwardContext &context, http::Exchange &exchange);
-    ~ForwardedRequest();
+    ~ForwardedRequest() override;
     ForwardedRequest(const ForwardedRequest &) = delete;
     ForwardedRequest &operator=(const ForwardedRequest &) = delete;
 
@@ -87,6 +87,8 @@
     void wake();
 
 private:
+    class Source;
+
     /// How a send ended.
     struct SendReport {
         SendResult result = SendResult::Lost;
@@ -129,8 +131,11 @@
     http::Awaitable<bool> awaitFirstByte(EndpointSend &send);
     /// Reads more of a stream; DeadlineExceeded if the endpoint stayed silent and is given up.
     http::Awaitable<absl::StatusOr<std::string>> readStream(EndpointSend &send);
+    /// Passes on a stream whose header is \a head.
     http::Awaitable<SendReport> relay(EndpointSend &send, const http::Response &head, SendReport report);
-    http::Awaitable<bool> passOn(const std::string &events, const http::Response &head);
+    void eventsCame() override;
+    void restBegan() override;
+    void restEnded(Duration rested, bool goesOn) override;
     http::Awaitable<void> refuse(Refusal refusal);
     [[nodiscard]] bool inputsFit() const;
     [[nodiscard]] Refusal refusalAfter(const SendReport &report) const;
@@ -168,8 +173,6 @@
     std::unique_ptr<RequestStages> m_stages; ///< From the request's preparation on.
     Duration m_stageTime{};
 
-    EventSplitter m_events;
-    bool m_streamBegun = false; ///< The caller has got the header of a stream.
     bool m_streamCut = false; ///< The stream ends before its end.
     SendLoss m_loss = SendLoss::None; ///< Of the last send.
     std::optional<CountedSend> m_counted; ///< The send that is under way.
@@ -179,6 +182,7 @@
     std::set<Address> m_refusedAt; ///< Where endpoints refused it.
     http::ClientConnection *m_connection = nullptr; ///< Of the send under way.
     AnswerMemory m_memory;
+    ForwardedStream m_stream;
     bool m_sending = false; ///< A send has begun whose end m_sends doesn't know yet.
     bool m_logged = false;
     bool m_usageCounted = false;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -27,6 +27,7 @@
 constexpr Range<Duration> kUsageWindow = {100ms, 24h};
 constexpr Range<int> kMemoryMb = {64, 1'000'000};
 constexpr Range<int> kBufferMb = {1, 1'000'000};
+constexpr Range<Duration> kRoomWait = {0ms, 1min};
 constexpr Range<int> kDescriptors = {256, 10'000'000};
 
 constexpr const char *kUsageReport = "usage_report";
@@ -81,6 +82,7 @@
     if (reader.has("buffer_mb")) {
         reader.integer("buffer_mb", limits.bufferMb.emplace(), kBufferMb);
     }
+    reader.duration("room_wait", limits.roomWait, kRoomWait);
     reader.finish();
     return limits;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/settings.h"
+#include "http/memory_account.h"
 #include "http/memory_shares.h"
 
 #include <algorithm>
@@ -61,6 +62,8 @@
     int memoryMb = 256; ///< Resident and in the kernel's socket buffers; above it the process is killed.
     int descriptors = 4096; ///< Open files and sockets.
     std::optional<int> bufferMb; ///< For bodies of requests and answers; absent: a share of memoryMb.
+    Duration roomWait =
+        http::MemoryOptions().roomWait; ///< Longest time for which an answer isn't read on for lack of memory.
 
     [[nodiscard]] http::MemoryShares memoryShares() const
     {
--- a/src/gateway/gateway_traffic.cc
+++ b/src/gateway/gateway_traffic.cc
@@ -58,6 +58,7 @@
 {
     http::MemoryOptions options;
     options.budget = limits.memoryShares().requests;
+    options.roomWait = limits.roomWait;
     // Each body that waits leaves up to twice its buffer in the kernel.
     const auto waiting = options.budget / kWaitingShare / (std::uint64_t(2) * http::kCallerReceiveBytes);
     options.maxWaiting = std::clamp<std::size_t>(waiting, kLeastWaiting, kMostWaiting);
--- a/src/gateway/request_sends.cc
+++ b/src/gateway/request_sends.cc
@@ -102,7 +102,8 @@
 
 NextStep RequestSends::after(SendResult result, SendLoss loss)
 {
-    if (loss == SendLoss::CallerGone) {
+    // Without memory here a second answer could not be passed on either, and would be made for nothing.
+    if (loss == SendLoss::CallerGone || loss == SendLoss::NoMemory) {
         m_obstacle = RetryObstacle::None;
         return m_policy.after(result, /*mayRetry=*/false);
     }
