Pass on whole answers that were read, however little room there is

What callers saw: in the moments in which the memory for requests was used up, a booking that had run was answered 502, outcome unknown; a request that may be repeated ran at a second endpoint; and the first endpoint counted as one that had broken off.

ClientConnection::readRest() read, asked for room afterwards, and dropped the answer if there was none, of whatever size. On the own interface a stream's attempt failed for a few bytes in the same way (its position was right: it resumes at the offset that was reported).

Now the first 16 KiB of an answer need no room, and more is read only once there is some, as for streams. An answer for which none comes ends as Aborted, which is this daemon's doing and neither counts against the endpoint nor is sent again.

Test: short_memory/a_booking_s_answer_is_passed_on_where_the_account_has_no_room_for_it. Before: failed (status 502). After: passed.

--- a/src/daemon/endpoint_call.cc
+++ b/src/daemon/endpoint_call.cc
@@ -3,6 +3,7 @@
 
 #include "daemon/endpoint_call.h"
 
+#include "http/room_wait.h"
 #include "mimosahub/error.h"
 #include "request/sse.h"
 
@@ -197,8 +198,14 @@
     }
     SseParser parser;
     std::vector<SseEvent> events;
+    http::RoomWait room(co_await boost::asio::this_coro::executor);
+    const auto base = relay != nullptr ? http::kStreamOverheadBytes : 0;
     bool done = false;
     while (!done && !m_abandoned) {
+        if (!co_await room.takeForRead(*m_memory, m_body.size() + parser.bufferedBytes(), timeout)) {
+            fail(AttemptFailure::ShortAnswer);
+            co_return;
+        }
         const auto data = co_await m_connection->readSome(timeout);
         events.clear();
         if (!data.ok() || data->empty() || !parser.read(*data, events).ok()) {
@@ -206,9 +213,8 @@
             co_return;
         }
         done = takeEvents(events, relay != nullptr);
-        const auto base = relay != nullptr ? http::kStreamOverheadBytes : 0;
-        const bool held = m_memory->resize(base + m_body.size() + parser.bufferedBytes());
-        if (!held || m_body.size() > kMaxAnswerBytes) {
+        m_memory->holdReceived(base + m_body.size() + parser.bufferedBytes());
+        if (m_body.size() > kMaxAnswerBytes) {
             fail(AttemptFailure::ShortAnswer);
             co_return;
         }
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -43,6 +43,9 @@
 
 SendLoss lossOf(const absl::Status &status)
 {
+    if (absl::IsAborted(status)) {
+        return SendLoss::NoMemory; // By ClientConnection::readRest().
+    }
     return absl::IsDeadlineExceeded(status) ? SendLoss::Silence : SendLoss::BrokenOff;
 }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -8,6 +8,7 @@
 
 #include "http/client.h"
 
+#include "http/room_wait.h"
 #include "http/socket_buffers.h"
 #include "http/socket_state.h"
 
@@ -150,6 +151,13 @@
     return std::min(timer.expiry(), m_deadline.expiry());
 }
 
+/// The time until \a end.
+Duration ClientConnection::timeLeft(IoTime end)
+{
+    return std::max(Duration::zero(),
+                    std::chrono::duration_cast<Duration>(end - asio::steady_timer::clock_type::now()));
+}
+
 Awaitable<absl::StatusOr<Response>> ClientConnection::readHeader(Duration timeout)
 {
     m_stream.expires_at(readUntil(timeout));
@@ -230,19 +238,24 @@
         co_return failed(Step::Receive, beast::http::error::body_limit);
     }
     const auto end = readUntil(timeout);
+    const auto before = hold != nullptr ? hold->bytes() : 0;
     std::string whole;
+    RoomWait room(m_stream.get_executor());
     while (!m_parser->is_done()) {
+        if (hold != nullptr && !co_await room.takeForRead(*hold, whole.size(), timeLeft(end))) {
+            co_return noMemory(*hold);
+        }
         auto data = co_await readSomeUntil(end);
-        const bool ended = hold != nullptr && hold->ended();
-        if (!data.ok() && !ended) {
-            co_return data.status();
+        if (hold != nullptr && hold->ended()) {
+            co_return noMemory(*hold);
         }
-        if (ended || (hold != nullptr && !hold->grow(data->size()))) {
-            static_cast<void>(failed(Step::Receive, beast::http::error::body_limit));
-            co_return errorAt(absl::StatusCode::kResourceExhausted, Step::Receive, m_peer.str(),
-                              "there is no memory for the answer");
+        if (!data.ok()) {
+            co_return data.status();
         }
         whole += *data;
+        if (hold != nullptr) {
+            hold->holdReceived(before + whole.size());
+        }
         if (whole.size() > maxBytes) {
             co_return failed(Step::Receive, beast::http::error::body_limit);
         }
@@ -250,6 +263,14 @@
     co_return whole;
 }
 
+/// Ends a read for which \a hold has no room.
+absl::Status ClientConnection::noMemory(const MemoryHold &hold)
+{
+    static_cast<void>(failed(Step::Receive, beast::http::error::body_limit));
+    const auto code = hold.ended() ? absl::StatusCode::kResourceExhausted : absl::StatusCode::kAborted;
+    return errorAt(code, Step::Receive, m_peer.str(), "there is no memory for the answer");
+}
+
 /// Reads once and sets \a data to what it brought of the body, which may be nothing.
 Awaitable<boost::system::error_code> ClientConnection::readOnce(std::string &data)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -55,7 +55,8 @@
     /// of the body comes for \a patience.
     Awaitable<absl::StatusOr<std::optional<std::string>>> readSomeWithin(Duration patience);
     /// Reads the rest of the body, of at most \a maxBytes, within \a timeout. \a hold, if any, keeps account of
-    /// it; if that has no room or is ended, the read ends with ResourceExhausted.
+    /// it: room is taken, or waited for, before more than one read is made. Without any the read ends with
+    /// Aborted, and with ResourceExhausted if \a hold is ended.
     Awaitable<absl::StatusOr<std::string>> readRest(Duration timeout, std::uint64_t maxBytes,
                                                     MemoryHold *hold = nullptr);
     /// Reads a whole answer, of at most \a maxBytes of body, within \a timeout.
@@ -89,7 +90,9 @@
     using IoTime = asio::steady_timer::time_point;
 
     absl::Status failed(Step step, boost::system::error_code ec);
+    absl::Status noMemory(const MemoryHold &hold);
     IoTime readUntil(Duration timeout);
+    static Duration timeLeft(IoTime end);
     Awaitable<absl::StatusOr<std::string>> readSomeUntil(IoTime end);
     Awaitable<bool> waitForBytes(IoTime end);
     Awaitable<boost::system::error_code> readOnce(std::string &data);
