Don't go on with a resumed answer that repeats or leaves out an event

An endpoint that ignores Last-Event-Id, or goes on in the wrong place, made callers get events twice, or miss some, in a stream that ended as complete. Nothing compared the first id of a resumed answer with that of the last event that was passed on; nor, for a caller's own Last-Event-Id, with that.

An answer whose first id was passed on already, or is a smaller number, or leaves out a number where all events before were counted by one, is lost now like one that broke off. Ids that tell nothing change nothing.

Tests: stream_position/an_answer_that_repeats_or_leaves_out_an_event_does_not_follow, and the property of forwarded_stream_test with endpoints that begin one event too early.

--- a/src/forward/stream_position_test.cc
+++ b/src/forward/stream_position_test.cc
@@ -48,3 +48,32 @@
     cr_expect(!behind({"1\n2"}).resumable());
     cr_expect(behind({std::nullopt, "2"}).resumable());
 }
+
+// A caller that goes on with an earlier stream gets its own id's successors from a second endpoint too.
+Test(stream_position, a_caller_s_own_id_holds_until_an_event_is_passed_on)
+{
+    StreamPosition position("7");
+    cr_expect(!position.begun() && position.resumable() && position.lastId() == "7");
+    cr_expect(!position.isFollowedBy(eventsOf({"7"})) && !position.isFollowedBy(eventsOf({"1"})));
+    cr_expect(position.isFollowedBy(eventsOf({"8"})) && position.isFollowedBy(eventsOf({"12"})));
+    position.recordPassedOn(eventsOf({"8"}));
+    cr_expect(position.begun() && position.lastId() == "8");
+}
+
+// Endpoints that begin again, or leave events out, are faulty: what they send doesn't continue the stream.
+Test(stream_position, an_answer_that_repeats_or_leaves_out_an_event_does_not_follow)
+{
+    const auto numbered = behind({"1", "2", "3"});
+    cr_expect(numbered.isFollowedBy(eventsOf({"4"})));
+    cr_expect(numbered.isFollowedBy(eventsOf({})));
+    cr_expect(numbered.isFollowedBy(eventsOf({std::nullopt})));
+    cr_expect(numbered.isFollowedBy(eventsOf({"x"})));
+    cr_expect(!numbered.isFollowedBy(eventsOf({"3", "4"})));
+    cr_expect(!numbered.isFollowedBy(eventsOf({"1"})));
+    cr_expect(!numbered.isFollowedBy(eventsOf({"5"})));
+    const auto spaced = behind({"5", "10"});
+    cr_expect(spaced.isFollowedBy(eventsOf({"15"})) && spaced.isFollowedBy(eventsOf({"11"})));
+    cr_expect(!spaced.isFollowedBy(eventsOf({"10"})));
+    const auto named = behind({"a", "b"});
+    cr_expect(named.isFollowedBy(eventsOf({"c"})) && !named.isFollowedBy(eventsOf({"b"})));
+}
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -239,6 +239,9 @@
             break;
         }
     }
+    if (m_call.lastEventId && m_route->repeatable()) {
+        m_stream.beginBehind(*m_call.lastEventId);
+    }
     m_contents = contentIdsOf(m_service, m_call.prompt, m_call.content);
     m_sends = std::make_unique<RequestSends>(m_context, m_service, m_route->id,
                                              SendLimits{m_route->repeatable(), m_route->maxAttempts},
--- a/src/gateway/forwarded_stream.cc
+++ b/src/gateway/forwarded_stream.cc
@@ -83,6 +83,9 @@
     if (events.empty()) {
         co_return StreamEnd();
     }
+    if (m_eventsOfAnswer == 0 && !m_position.isFollowedBy(events)) {
+        co_return lost(SendLoss::BrokenOff, "the answer doesn't go on behind the event that it was to follow");
+    }
     m_eventsOfAnswer += events.ids.size();
     m_observer.eventsCame();
     const AnswerMemory::Writing writing(m_memory);
--- a/src/gateway/forwarded_stream.h
+++ b/src/gateway/forwarded_stream.h
@@ -71,6 +71,11 @@
     {
     }
 
+    /// The caller has got the events up to \a id from an earlier request, and wants those behind it.
+    void beginBehind(std::string id)
+    {
+        m_position = StreamPosition(std::move(id));
+    }
     /// The request is sent to another endpoint: none of its events has come.
     void beginAnswer()
     {
--- a/src/gateway/forwarded_stream_test.cc
+++ b/src/gateway/forwarded_stream_test.cc
@@ -214,10 +214,12 @@
     return text;
 }
 
-/// What an endpoint makes behind the event \a lastId.
-std::string textBehind(const std::vector<Event> &events, const std::optional<std::string> &lastId)
+/// What an endpoint makes behind the event \a lastId; faulty ones begin one event too early.
+std::string textBehind(const std::vector<Event> &events, const std::optional<std::string> &lastId, bool early)
 {
-    return textOf(events, lastId ? static_cast<std::size_t>(std::stoi(*lastId)) : 0);
+    auto begin = lastId ? static_cast<std::size_t>(std::stoi(*lastId)) : 0;
+    begin -= early && begin > 0 ? 1 : 0;
+    return textOf(events, begin);
 }
 
 bool isPrefixOfEvents(const std::string &text, const std::vector<Event> &events)
@@ -261,8 +263,8 @@
 
 } // namespace
 
-// Guards against a stream that ends as complete with an event missing or double, whatever room and losses
-// do.
+// Guards against a stream that ends as complete with an event missing or double, whatever room, losses
+// and endpoints do.
 Test(forwarded_stream, a_caller_gets_a_prefix_of_the_events_and_all_if_it_is_told_so)
 {
     cr_assert(rc::check("prefix", [] {
@@ -270,11 +272,12 @@
         Account it(http::kStreamOverheadBytes + *rc::gen::element<std::uint64_t>(0, 100, 30 * kKiB, 300 * kKiB), 1ms);
         Stream stream(it.io, it.account);
         for (int sends = *rc::gen::inRange(1, 4); sends > 0; --sends) {
+            const bool early = *rc::gen::element(false, false, true);
             const auto &lastId = stream.stream().position().lastId();
             const auto room =
                 *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(0, 100'000));
             std::size_t reads = 0;
-            stream.begin(drawAnswer(textBehind(events, lastId)), [&] {
+            stream.begin(drawAnswer(textBehind(events, lastId, early)), [&] {
                 if (!room.empty()) {
                     it.others.shrinkTo(0);
                     it.leave(room[reads++ % room.size()]);
