--- a/src/gateway/answer_memory.h
+++ b/src/gateway/answer_memory.h
@@ -18,8 +18,9 @@
 {
 public:
     /// \a account must outlive this object. \a cutCaller gives up what is being written to the caller.
-    AnswerMemory(boost::asio::any_io_executor executor, http::MemoryAccount &account, std::function<void()> cutCaller)
-        : m_account(account), m_cutCaller(std::move(cutCaller)), m_room(std::move(executor))
+    AnswerMemory(const boost::asio::any_io_executor &executor, http::MemoryAccount &account,
+                 std::function<void()> cutCaller)
+        : m_account(account), m_cutCaller(std::move(cutCaller)), m_room(executor)
     {
     }
     AnswerMemory(const AnswerMemory &) = delete;
--- a/src/http/room_wait.h
+++ b/src/http/room_wait.h
@@ -18,7 +18,7 @@
 class RoomWait
 {
 public:
-    explicit RoomWait(boost::asio::any_io_executor executor) : m_timer(std::move(executor))
+    explicit RoomWait(const boost::asio::any_io_executor &executor) : m_timer(executor)
     {
     }
 
