Call a stream that waits for memory paused, and name what takes room for it

"Rest" stood for three things: what is left of an event, the time that an endpoint asks to be left alone, and a stream that is not read on. AnswerMemory::hasRoomForRead() took room and is tryTakeRoom().

gateway_test and short_memory_test passed.

--- a/src/gateway/answer_memory.cc
+++ b/src/gateway/answer_memory.cc
@@ -12,13 +12,13 @@
     return m_stream->grow(http::kStreamOverheadBytes);
 }
 
-bool AnswerMemory::hasRoomForRead(std::uint64_t unfinished)
+bool AnswerMemory::tryTakeRoom(std::uint64_t unfinished)
 {
     m_stream->holdReceived(http::kStreamOverheadBytes + unfinished);
     return http::RoomWait::tryTakeForRead(*m_stream, unfinished);
 }
 
-http::Awaitable<bool> AnswerMemory::waitForRead(std::uint64_t unfinished, Duration longest)
+http::Awaitable<bool> AnswerMemory::waitForRoom(std::uint64_t unfinished, Duration longest)
 {
     const bool taken = co_await m_room.takeForRead(*m_stream, unfinished, longest);
     if (!taken) {
--- a/src/gateway/answer_memory.h
+++ b/src/gateway/answer_memory.h
@@ -28,12 +28,12 @@
 
     /// Takes what a stream holds beside its events; false if there is no room.
     [[nodiscard]] bool reserveStream();
-    /// Whether more of a stream may be read, \a unfinished bytes of whose last event have come: the beginning of
-    /// an event always, more of it if there is room.
-    [[nodiscard]] bool hasRoomForRead(std::uint64_t unfinished);
-    /// Waits until hasRoomForRead() would hold; false if it didn't within \a longest or the account's own
-    /// limit, or the stream was ended. What the stream held is then given back.
-    http::Awaitable<bool> waitForRead(std::uint64_t unfinished, Duration longest);
+    /// Takes room for the next read of a stream, of whose last event \a unfinished bytes have come: the beginning
+    /// of an event needs none. False if there is none, or the stream was ended.
+    [[nodiscard]] bool tryTakeRoom(std::uint64_t unfinished);
+    /// As tryTakeRoom(), but waits for room; false if none came within \a longest or the account's own limit.
+    /// What the stream held is then given back.
+    http::Awaitable<bool> waitForRoom(std::uint64_t unfinished, Duration longest);
     /// Counts \a bytes of events that were read and are not passed on yet.
     void holdEvents(std::uint64_t bytes);
     /// The stream was ended in favour of others.
--- a/src/gateway/forward_metrics.cc
+++ b/src/gateway/forward_metrics.cc
@@ -67,21 +67,21 @@
         .add();
 }
 
-void ForwardMetrics::recordStreamRest()
+void ForwardMetrics::recordStreamPause()
 {
     m_registry
-        .counter("mimosahub_stream_rests_total",
+        .counter("mimosahub_stream_pauses_total",
                  "Times that a stream was not read on, since there was no memory for the rest of an event.")
         .add();
 }
 
-void ForwardMetrics::recordStreamRestEnd(Duration rested, bool goesOn)
+void ForwardMetrics::recordStreamPauseEnd(Duration paused, bool goesOn)
 {
     m_registry
-        .histogram("mimosahub_stream_rest_seconds",
+        .histogram("mimosahub_stream_pause_seconds",
                    "From a stream's rest for lack of memory to its end, by whether the stream went on or was given up.",
-                   {{"end", goesOn ? "went-on" : "given-up"}})
-        .record(seconds(rested));
+                   {{"end", goesOn ? "continued" : "given-up"}})
+        .record(seconds(paused));
 }
 
 void ForwardMetrics::recordUnprovenRefusal(int status)
--- a/src/gateway/forward_metrics.h
+++ b/src/gateway/forward_metrics.h
@@ -40,9 +40,9 @@
     /// A stream was cut at its caller after it had begun. \a obstacle: to sending the request again.
     void recordStreamCut(SendLoss loss, RetryObstacle obstacle);
     /// A stream is not read on for lack of memory.
-    void recordStreamRest();
-    /// It went on or was given up after \a rested.
-    void recordStreamRestEnd(Duration rested, bool goesOn);
+    void recordStreamPause();
+    /// It went on or was given up after \a paused.
+    void recordStreamPauseEnd(Duration paused, bool goesOn);
     /// An endpoint answered with \a status, which promises callers that the request has not run,
     /// without saying so itself.
     void recordUnprovenRefusal(int status);
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -776,24 +776,24 @@
     m_stages->drop();
 }
 
-void ForwardedRequest::restBegan()
+void ForwardedRequest::pauseBegan()
 {
-    m_context.metrics.recordStreamRest();
-    logEvent(LogLevel::Info, "stream-rests")
+    m_context.metrics.recordStreamPause();
+    logEvent(LogLevel::Info, "stream-paused")
         .with("request", m_call.id)
         .with("endpoint", m_endpoint)
         .with("events", m_stream.eventsOfAnswer())
         .with("held", m_context.memory.held());
 }
 
-void ForwardedRequest::restEnded(Duration rested, bool goesOn)
+void ForwardedRequest::pauseEnded(Duration paused, bool goesOn)
 {
-    m_context.metrics.recordStreamRestEnd(rested, goesOn);
-    logEvent(goesOn ? LogLevel::Info : LogLevel::Warning, goesOn ? "stream-goes-on" : "stream-given-up")
+    m_context.metrics.recordStreamPauseEnd(paused, goesOn);
+    logEvent(goesOn ? LogLevel::Info : LogLevel::Warning, goesOn ? "stream-continued" : "stream-given-up")
         .with("request", m_call.id)
         .with("endpoint", m_endpoint)
         .with("events", m_stream.eventsOfAnswer())
-        .with("rested", rested)
+        .with("paused", paused)
         .with("held", m_context.memory.held());
 }
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -134,8 +134,8 @@
     /// Passes on a stream whose header is \a head.
     http::Awaitable<SendReport> relay(EndpointSend &send, const http::Response &head, SendReport report);
     void eventsCame() override;
-    void restBegan() override;
-    void restEnded(Duration rested, bool goesOn) override;
+    void pauseBegan() override;
+    void pauseEnded(Duration paused, bool goesOn) override;
     http::Awaitable<void> refuse(Refusal refusal);
     [[nodiscard]] bool inputsFit() const;
     [[nodiscard]] Refusal refusalAfter(const SendReport &report) const;
--- a/src/gateway/forwarded_stream.cc
+++ b/src/gateway/forwarded_stream.cc
@@ -65,16 +65,16 @@
 /// Doesn't read on until there is room for the rest of an event of which \a unfinished bytes have come.
 http::Awaitable<bool> ForwardedStream::awaitRoom(StreamSource &source, std::uint64_t unfinished)
 {
-    if (m_memory.hasRoomForRead(unfinished)) {
+    if (m_memory.tryTakeRoom(unfinished)) {
         co_return true;
     }
     if (m_memory.streamEnded()) {
         co_return false;
     }
     const auto begin = m_memory.clock().now();
-    m_observer.restBegan();
-    const bool goesOn = co_await m_memory.waitForRead(unfinished, source.left());
-    m_observer.restEnded(m_memory.clock().now() - begin, goesOn);
+    m_observer.pauseBegan();
+    const bool goesOn = co_await m_memory.waitForRoom(unfinished, source.left());
+    m_observer.pauseEnded(m_memory.clock().now() - begin, goesOn);
     co_return goesOn;
 }
 
--- a/src/gateway/forwarded_stream.h
+++ b/src/gateway/forwarded_stream.h
@@ -49,9 +49,9 @@
     /// Whole events were read and are passed on next.
     virtual void eventsCame() = 0;
     /// The stream is not read on, since there is no memory for the rest of an event.
-    virtual void restBegan() = 0;
-    /// After \a rested; \a goesOn: there is room now. Otherwise the stream is given up.
-    virtual void restEnded(Duration rested, bool goesOn) = 0;
+    virtual void pauseBegan() = 0;
+    /// After \a paused; \a goesOn: there is room now. Otherwise the stream is given up.
+    virtual void pauseEnded(Duration paused, bool goesOn) = 0;
 };
 
 /// How the answer of one endpoint to a streamed request ended.
--- a/src/gateway/forwarded_stream_test.cc
+++ b/src/gateway/forwarded_stream_test.cc
@@ -113,17 +113,17 @@
     void eventsCame() override
     {
     }
-    void restBegan() override
+    void pauseBegan() override
     {
-        ++rests;
+        ++pauses;
     }
-    void restEnded(Duration /*rested*/, bool goesOn) override
+    void pauseEnded(Duration /*paused*/, bool goesOn) override
     {
-        ++(goesOn ? wentOn : givenUp);
+        ++(goesOn ? continued : givenUp);
     }
 
-    int rests = 0;
-    int wentOn = 0;
+    int pauses = 0;
+    int continued = 0;
     int givenUp = 0;
 };
 
@@ -310,12 +310,12 @@
         stream.begin({textOf(events), pieceBytes});
         it.run();
         cr_expect(stream.caller().finished && stream.caller().text == textOf(events), "%zu", pieceBytes);
-        cr_expect_eq(stream.observer().rests, 0);
+        cr_expect_eq(stream.observer().pauses, 0);
     }
 }
 
 // The endpoint waits behind its connection; nothing is lost once others have given room back.
-Test(forwarded_stream, a_stream_rests_for_the_rest_of_an_event_and_goes_on)
+Test(forwarded_stream, a_stream_pauses_for_the_rest_of_an_event_and_goes_on)
 {
     const auto events = eventsOf(3, 40'000);
     Account it(http::kStreamOverheadBytes + 200 * kKiB, 5s);
@@ -324,12 +324,12 @@
     stream.begin({textOf(events)});
     boost::asio::steady_timer timer(it.io, 30ms);
     timer.async_wait([&](auto) {
-        cr_expect(!stream.end() && stream.observer().rests == 1 && stream.caller().text.empty());
+        cr_expect(!stream.end() && stream.observer().pauses == 1 && stream.caller().text.empty());
         it.others.shrinkTo(0);
     });
     it.run();
     cr_expect(stream.caller().finished && stream.caller().text == textOf(events));
-    cr_expect(stream.observer().wentOn == 1 && stream.observer().givenUp == 0);
+    cr_expect(stream.observer().continued == 1 && stream.observer().givenUp == 0);
 }
 
 Test(forwarded_stream, a_stream_that_finds_no_room_is_given_up_and_gives_back_what_it_held)
@@ -369,7 +369,7 @@
 }
 
 // A planned stop doesn't wait for the room of a stream that it gives up.
-Test(forwarded_stream, a_rest_ends_when_the_request_is_given_up)
+Test(forwarded_stream, a_pause_ends_when_the_request_is_given_up)
 {
     Account it(http::kStreamOverheadBytes + 200 * kKiB, 1h);
     Stream stream(it.io, it.account);
