--- a/src/gateway/forward_metrics.cc
+++ b/src/gateway/forward_metrics.cc
@@ -78,9 +78,10 @@
 void ForwardMetrics::recordStreamPauseEnd(Duration paused, bool goesOn)
 {
     m_registry
-        .histogram("mimosahub_stream_pause_seconds",
-                   "From a stream's rest for lack of memory to its end, by whether the stream went on or was given up.",
-                   {{"end", goesOn ? "continued" : "given-up"}})
+        .histogram(
+            "mimosahub_stream_pause_seconds",
+            "From a stream's pause for lack of memory to its end, by whether the stream went on or was given up.",
+            {{"end", goesOn ? "continued" : "given-up"}})
         .record(seconds(paused));
 }
 
